Found the project: build, result types, ports and the supervisor tree

Cause: the repository is empty. Change: Maven modules, one for each program and one for decisions; the ports to targets, the platform and other proxies; settings, logs and the HTTP client that all programs share; formatter, linter and tests in ./check. Conclusion: a proxy starts and answers /health/ready; no statement is served yet.

--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/package-info.java
@@ -0,0 +1,2 @@
+/** The benches and the load of the demonstration. */
+package io.lycheejunction.bench;
--- /dev/null
+++ b/burn/src/main/java/io/lycheejunction/burn/package-info.java
@@ -0,0 +1,2 @@
+/** The service-level burn report. */
+package io.lycheejunction.burn;
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/clock/SystemRuntimeClock.java
@@ -0,0 +1,23 @@
+package io.lycheejunction.common.clock;
+
+import io.lycheejunction.core.clock.RuntimeClock;
+import java.util.concurrent.TimeUnit;
+
+/** The runtime clock of a running program. */
+public final class SystemRuntimeClock implements RuntimeClock {
+
+  @Override
+  public long wallMs() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public long monotonicMs() {
+    return TimeUnit.NANOSECONDS.toMillis(System.nanoTime());
+  }
+
+  @Override
+  public void sleepMs(long durationMs) throws InterruptedException {
+    Thread.sleep(durationMs);
+  }
+}
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/clock/package-info.java
@@ -0,0 +1,2 @@
+/** The system clock behind the runtime clock. */
+package io.lycheejunction.common.clock;
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/http/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP client that the programs share. */
+package io.lycheejunction.common.http;
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/json/package-info.java
@@ -0,0 +1,2 @@
+/** The JSON mapper that the programs share. */
+package io.lycheejunction.common.json;
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/log/EventLog.java
@@ -0,0 +1,67 @@
+package io.lycheejunction.common.log;
+
+import org.apache.logging.log4j.Level;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.apache.logging.log4j.message.StringMapMessage;
+
+/** Writes events as one line of key=value pairs each. */
+public final class EventLog {
+  private final Logger logger;
+
+  private EventLog(Logger logger) {
+    this.logger = logger;
+  }
+
+  /**
+   * Returns the log of a class.
+   *
+   * @param owner the class that logs
+   * @return the log
+   */
+  public static EventLog of(Class<?> owner) {
+    return new EventLog(LogManager.getLogger(owner));
+  }
+
+  /**
+   * Writes an event that an operator may want to see.
+   *
+   * @param event the name of the event, in snake case
+   * @param keysAndValues names and values in turn
+   */
+  public void info(String event, Object... keysAndValues) {
+    write(Level.INFO, event, keysAndValues);
+  }
+
+  /**
+   * Writes an event that an operator should look at.
+   *
+   * @param event the name of the event, in snake case
+   * @param keysAndValues names and values in turn
+   */
+  public void warn(String event, Object... keysAndValues) {
+    write(Level.WARN, event, keysAndValues);
+  }
+
+  /**
+   * Writes an event that helps to find the cause of another.
+   *
+   * @param event the name of the event, in snake case
+   * @param keysAndValues names and values in turn
+   */
+  public void debug(String event, Object... keysAndValues) {
+    write(Level.DEBUG, event, keysAndValues);
+  }
+
+  private void write(Level level, String event, Object... keysAndValues) {
+    if (!logger.isEnabled(level)) {
+      return;
+    }
+    StringMapMessage message = new StringMapMessage();
+    message.with("event", event);
+    for (int i = 0; i + 1 < keysAndValues.length; i += 2) {
+      message.with(String.valueOf(keysAndValues[i]), String.valueOf(keysAndValues[i + 1]));
+    }
+    logger.log(level, message);
+  }
+}
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log events, one line of key=value pairs each. */
+package io.lycheejunction.common.log;
--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/settings/Program.java
@@ -0,0 +1,93 @@
+package io.lycheejunction.common.settings;
+
+import java.io.PrintStream;
+import java.io.PrintWriter;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.function.ToIntFunction;
+import org.apache.commons.cli.HelpFormatter;
+
+/**
+ * A program of lycheejunction: its name, its settings and what it runs.
+ *
+ * @param name the name of the command
+ * @param usage what follows the name on the usage line
+ * @param settings the settings
+ */
+public record Program(String name, String usage, List<Setting> settings) {
+  /** The exit code for settings that are missing or outside their ranges. */
+  public static final int EXIT_BAD_SETTINGS = 2;
+
+  private static final int HELP_WIDTH_CHARS = 100;
+
+  /** Rejects null components. */
+  public Program {
+    Objects.requireNonNull(name, "name is null");
+    Objects.requireNonNull(usage, "usage is null");
+    settings = List.copyOf(settings);
+  }
+
+  /**
+   * Returns the exit code after reading the settings and, if they are good, running the body.
+   *
+   * @param args the command line
+   * @param environment the environment variables
+   * @param out receives the help page and the version
+   * @param err receives the faults of the settings
+   * @param body runs with the settings and returns the exit code
+   * @return the exit code
+   */
+  public int run(
+      String[] args,
+      Map<String, String> environment,
+      PrintStream out,
+      PrintStream err,
+      ToIntFunction<Settings> body) {
+    return switch (Settings.parse(settings, args, environment)) {
+      case Settings.Parsed.Ready(Settings ready) -> body.applyAsInt(ready);
+      case Settings.Parsed.Help() -> help(out);
+      case Settings.Parsed.Version() -> version(out);
+      case Settings.Parsed.Faulty(List<String> faults) -> faulty(err, faults);
+    };
+  }
+
+  @SuppressWarnings("deprecation") // the replacement is still in an experimental package
+  private int help(PrintStream out) {
+    PrintWriter writer = new PrintWriter(out, true, StandardCharsets.UTF_8);
+    new HelpFormatter()
+        .printHelp(
+            writer,
+            HELP_WIDTH_CHARS,
+            name + " " + usage,
+            "",
+            Settings.options(settings),
+            1,
+            2,
+            secretsPage());
+    writer.flush();
+    return 0;
+  }
+
+  private String secretsPage() {
+    StringBuilder page = new StringBuilder();
+    for (Setting setting : settings) {
+      if (setting.secret()) {
+        page.append('\n').append(setting.variable()).append(": ").append(setting.help());
+      }
+    }
+    return page.isEmpty() ? "" : "\nSecrets, taken from the environment only:" + page;
+  }
+
+  private int version(PrintStream out) {
+    String version = Program.class.getPackage().getImplementationVersion();
+    out.println(name + " " + (version == null ? "development" : version));
+    return 0;
+  }
+
+  private int faulty(PrintStream err, List<String> faults) {
+    faults.forEach(fault -> err.println(name + ": " + fault));
+    return EXIT_BAD_SETTINGS;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/clock/package-info.java
@@ -0,0 +1,2 @@
+/** The injected clock of the runtime. */
+package io.lycheejunction.core.clock;
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/port/TargetStatus.java
@@ -0,0 +1,31 @@
+package io.lycheejunction.core.port;
+
+import io.lycheejunction.core.term.LogPosition;
+import java.util.Objects;
+
+/**
+ * What an instance says of itself.
+ *
+ * @param target the name of the instance
+ * @param term the highest term that the instance has accepted, by a fence, a promotion or a log
+ *     entry; it refuses log entries and writes of lower terms
+ * @param role the role of the instance in that term
+ * @param received the last log entry that the instance holds
+ * @param applied the last log entry that reads on the instance see
+ * @param leaving true if the instance announces that it is leaving
+ */
+public record TargetStatus(
+    String target,
+    long term,
+    Role role,
+    LogPosition received,
+    LogPosition applied,
+    boolean leaving) {
+  /** Rejects null components. */
+  public TargetStatus {
+    Objects.requireNonNull(target, "target is null");
+    Objects.requireNonNull(role, "role is null");
+    Objects.requireNonNull(received, "received is null");
+    Objects.requireNonNull(applied, "applied is null");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
@@ -0,0 +1,145 @@
+package io.lycheejunction.core.result;
+
+/**
+ * Numbers every answer that a program of lycheejunction gives.
+ *
+ * <p>The table in docs/RESULT-CODES.md lists each code with its meaning and what to do.
+ */
+public enum ResultCode {
+  /** The request was done. */
+  DONE(1000, Outcome.DONE, 200),
+
+  /** The body is not valid JSON. */
+  BAD_JSON(1101, Outcome.REFUSED_NOT_RUN, 400),
+  /** The service is not in the configuration in force. */
+  UNKNOWN_SERVICE(1102, Outcome.REFUSED_NOT_RUN, 404),
+  /** The body has a field that the interface does not define. */
+  UNKNOWN_FIELD(1103, Outcome.REFUSED_NOT_RUN, 422),
+  /** The body is larger than the limit. */
+  BODY_TOO_LARGE(1104, Outcome.REFUSED_NOT_RUN, 413),
+  /** The session token is malformed or its signature is wrong. */
+  BAD_TOKEN(1105, Outcome.REFUSED_NOT_RUN, 401),
+  /** The idempotency key is not a UUID of version 7. */
+  BAD_KEY(1106, Outcome.REFUSED_NOT_RUN, 428),
+  /** The idempotency key is older than the retention of the ledger. */
+  KEY_EXPIRED(1107, Outcome.REFUSED_NOT_RUN, 410),
+  /** A field has a value outside its range. */
+  BAD_VALUE(1108, Outcome.REFUSED_NOT_RUN, 400),
+  /** The target rejected the statement as invalid. */
+  BAD_STATEMENT(1109, Outcome.REFUSED_NOT_RUN, 400),
+  /** The transaction is not open on the proxy that its identifier names. */
+  UNKNOWN_TRANSACTION(1110, Outcome.REFUSED_NOT_RUN, 404),
+  /** The idempotency key is recorded for another statement. */
+  KEY_REUSED(1111, Outcome.REFUSED_NOT_RUN, 409),
+
+  /** The queue of the target is full. */
+  QUEUE_FULL(1201, Outcome.REFUSED_NOT_RUN, 503),
+  /** The expected wait is longer than the remaining time of the request. */
+  WAIT_TOO_LONG(1202, Outcome.REFUSED_NOT_RUN, 503),
+  /** The deadline passed before the request was dispatched. */
+  DEADLINE_EXCEEDED(1203, Outcome.REFUSED_NOT_RUN, 504),
+  /** The proxy is shutting down and takes no new work. */
+  SHUTTING_DOWN(1204, Outcome.REFUSED_NOT_RUN, 503),
+  /** No connection to the target could be had. */
+  NO_CONNECTION(1205, Outcome.REFUSED_NOT_RUN, 503),
+  /** The circuit breaker of the target is open. */
+  CIRCUIT_OPEN(1206, Outcome.REFUSED_NOT_RUN, 503),
+
+  /** No primary of the group is known. */
+  NO_PRIMARY(1301, Outcome.REFUSED_NOT_RUN, 503),
+  /** The target is not the primary of the named term. */
+  NOT_PRIMARY(1302, Outcome.REFUSED_NOT_RUN, 503),
+  /** A majority of the group's instances cannot be reached. */
+  MAJORITY_LOST(1303, Outcome.REFUSED_NOT_RUN, 503),
+  /** The target cannot be reached and the request was not sent. */
+  TARGET_UNREACHABLE(1304, Outcome.REFUSED_NOT_RUN, 503),
+  /** The target is leaving and takes no new work. */
+  TARGET_LEAVING(1305, Outcome.REFUSED_NOT_RUN, 503),
+  /** The proxy that received a forwarded request does not hold the target's pool. */
+  NOT_HOLDER(1306, Outcome.REFUSED_NOT_RUN, 503),
+  /** The peer proxy cannot be reached and the request was not sent. */
+  PEER_UNREACHABLE(1307, Outcome.REFUSED_NOT_RUN, 503),
+  /** Another claimant holds the term. */
+  TERM_TAKEN(1308, Outcome.REFUSED_NOT_RUN, 409),
+
+  /** No allowed target has applied the position that the session requires. */
+  NOT_FRESH(1401, Outcome.REFUSED_NOT_RUN, 503),
+  /** The age of the reachable data cannot be shown to be within the allowed age. */
+  AGE_NOT_PROVEN(1402, Outcome.REFUSED_NOT_RUN, 503),
+
+  /** The request is proven not to have run and cannot run later: its key is cancelled. */
+  CANCELLED(1501, Outcome.REFUSED_NOT_RUN, 409),
+  /** The request was sent and its effect is not known yet. */
+  UNKNOWN_OUTCOME(1502, Outcome.OUTCOME_UNKNOWN, 504),
+  /** No record of the idempotency key exists. */
+  KEY_NOT_FOUND(1503, Outcome.REFUSED_NOT_RUN, 404),
+  /** The transaction was rolled back. */
+  ROLLED_BACK(1504, Outcome.REFUSED_NOT_RUN, 409),
+
+  /** The configuration is at another version than the command requires. */
+  VERSION_CONFLICT(1601, Outcome.REFUSED_NOT_RUN, 409),
+  /** The change cannot be applied to the configuration in force. */
+  INVALID_CHANGE(1602, Outcome.REFUSED_NOT_RUN, 422),
+  /** The platform's store refused or could not be reached; the change was not written. */
+  STORE_UNAVAILABLE(1603, Outcome.REFUSED_NOT_RUN, 503),
+  /** The platform's store gave no answer; the change may be written. */
+  STORE_UNKNOWN(1604, Outcome.OUTCOME_UNKNOWN, 504),
+  /** The command does not follow the grammar of the operator language. */
+  SYNTAX_ERROR(1605, Outcome.REFUSED_NOT_RUN, 400),
+  /** No change has the given identifier. */
+  UNKNOWN_CHANGE(1606, Outcome.REFUSED_NOT_RUN, 404),
+  /** A row of the configuration log cannot be applied. */
+  POISONED_ROW(1607, Outcome.REFUSED_NOT_RUN, 500),
+
+  /** No credential was presented. */
+  NO_CREDENTIAL(1701, Outcome.REFUSED_NOT_RUN, 401),
+  /** The credential is not valid. */
+  WRONG_CREDENTIAL(1702, Outcome.REFUSED_NOT_RUN, 401),
+  /** The credential is valid but does not allow the request. */
+  NOT_ALLOWED(1703, Outcome.REFUSED_NOT_RUN, 403),
+
+  /** A setting of the process is missing or outside its range. */
+  BAD_SETTING(1801, Outcome.REFUSED_NOT_RUN, 500),
+
+  /** The proxy failed before the request was dispatched. */
+  INTERNAL_NOT_RUN(1901, Outcome.REFUSED_NOT_RUN, 500),
+  /** The proxy failed after the request was dispatched. */
+  INTERNAL_UNKNOWN(1902, Outcome.OUTCOME_UNKNOWN, 500);
+
+  private final int number;
+  private final Outcome outcome;
+  private final int httpStatus;
+
+  ResultCode(int number, Outcome outcome, int httpStatus) {
+    this.number = number;
+    this.outcome = outcome;
+    this.httpStatus = httpStatus;
+  }
+
+  /**
+   * Returns the code's number, which never changes once published.
+   *
+   * @return the number
+   */
+  public int number() {
+    return number;
+  }
+
+  /**
+   * Returns what the code says about the effect of the request.
+   *
+   * @return the outcome
+   */
+  public Outcome outcome() {
+    return outcome;
+  }
+
+  /**
+   * Returns the HTTP status that goes with the code.
+   *
+   * @return the status
+   */
+  public int httpStatus() {
+    return httpStatus;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/term/package-info.java
@@ -0,0 +1,2 @@
+/** Terms and log positions of a database group. */
+package io.lycheejunction.core.term;
--- /dev/null
+++ b/core/src/test/java/io/lycheejunction/core/clock/ManualClock.java
@@ -0,0 +1,95 @@
+package io.lycheejunction.core.clock;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+
+/**
+ * A clock that stands still until a test advances it.
+ *
+ * <p>With automatic advance a sleeping thread advances the clock itself, so that single-threaded
+ * tests of blocking code never wait. Actions can be set for a later time; they run on the thread
+ * that advances the clock, in order of time.
+ */
+public final class ManualClock implements RuntimeClock {
+  private static final long START_WALL_MS = 1_700_000_000_000L;
+
+  private record Action(long atMs, Runnable body) {}
+
+  private final boolean autoAdvance;
+  private final List<Action> actions = new ArrayList<>();
+  private long nowMs;
+
+  private ManualClock(boolean autoAdvance) {
+    this.autoAdvance = autoAdvance;
+  }
+
+  /** Returns a clock on which sleeping threads wait until a test advances it. */
+  public static ManualClock paused() {
+    return new ManualClock(false);
+  }
+
+  /** Returns a clock that a sleeping thread advances by the time it sleeps. */
+  public static ManualClock advancing() {
+    return new ManualClock(true);
+  }
+
+  @Override
+  public synchronized long wallMs() {
+    return START_WALL_MS + nowMs;
+  }
+
+  @Override
+  public synchronized long monotonicMs() {
+    return nowMs;
+  }
+
+  @Override
+  public void sleepMs(long durationMs) throws InterruptedException {
+    if (autoAdvance) {
+      advanceMs(durationMs);
+      return;
+    }
+    synchronized (this) {
+      long untilMs = nowMs + durationMs;
+      while (nowMs < untilMs) {
+        wait();
+      }
+    }
+  }
+
+  /** Runs the action once the clock has reached the given time from now. */
+  public synchronized void afterMs(long delayMs, Runnable body) {
+    actions.add(new Action(nowMs + delayMs, body));
+  }
+
+  /** Advances the clock, running the actions that become due, and wakes sleeping threads. */
+  public void advanceMs(long durationMs) {
+    long untilMs = monotonicMs() + Math.max(0, durationMs);
+    while (runNext(untilMs)) {
+      continue;
+    }
+    synchronized (this) {
+      nowMs = Math.max(nowMs, untilMs);
+      notifyAll();
+    }
+  }
+
+  private boolean runNext(long untilMs) {
+    Action next;
+    synchronized (this) {
+      next =
+          actions.stream()
+              .filter(a -> a.atMs() <= untilMs)
+              .min(Comparator.comparingLong(Action::atMs))
+              .orElse(null);
+      if (next == null) {
+        return false;
+      }
+      actions.remove(next);
+      nowMs = Math.max(nowMs, next.atMs());
+    }
+    next.body().run();
+    return true;
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/io/lycheejunction/ctl/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' command line. */
+package io.lycheejunction.ctl;
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/package-info.java
@@ -0,0 +1,2 @@
+/** The HTTP server and the callers' interface. */
+package io.lycheejunction.proxy.caller;
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionStart.java
@@ -0,0 +1,38 @@
+package io.lycheejunction.proxy.holder;
+
+import io.lycheejunction.core.configuration.Durability;
+import java.util.Objects;
+
+/**
+ * The start of a transaction on the primary.
+ *
+ * @param service the caller's service
+ * @param group the group of the service
+ * @param target the name of the primary
+ * @param term the term in which the transaction must run
+ * @param durability when its commit is acknowledged
+ * @param weight the service's share of the queue
+ * @param entryVm the name of the proxy that received the request
+ * @param idleLimitMs the time without a request after which the transaction is rolled back, in
+ *     milliseconds
+ * @param remainingMs the time that remains to the request's deadline, in milliseconds
+ */
+public record TransactionStart(
+    String service,
+    String group,
+    String target,
+    long term,
+    Durability durability,
+    int weight,
+    String entryVm,
+    long idleLimitMs,
+    long remainingMs) {
+  /** Rejects null components. */
+  public TransactionStart {
+    Objects.requireNonNull(service, "service is null");
+    Objects.requireNonNull(group, "group is null");
+    Objects.requireNonNull(target, "target is null");
+    Objects.requireNonNull(durability, "durability is null");
+    Objects.requireNonNull(entryVm, "entryVm is null");
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/package-info.java
@@ -0,0 +1,2 @@
+/** The holders of targets' connection pools: admission, execution and acknowledgement. */
+package io.lycheejunction.proxy.holder;
--- /dev/null
+++ b/standin/src/main/java/io/lycheejunction/standin/package-info.java
@@ -0,0 +1,2 @@
+/** Stand-ins for the platform and for database groups, for development and tests. */
+package io.lycheejunction.standin;
