Add the pooled holder: admission, pools, acknowledgement and forwarding

Cause: Holders had no implementation. Change: PooledHolders runs statements on held targets or forwards them once; admission is bounded and fair; reads are judged by the position that the target reports; RuntimeClock can wait for a latch.

--- a/common/src/main/java/io/lycheejunction/common/clock/SystemRuntimeClock.java
+++ b/common/src/main/java/io/lycheejunction/common/clock/SystemRuntimeClock.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.common.clock;
 
 import io.lycheejunction.core.clock.RuntimeClock;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** The runtime clock of a running program. */
@@ -20,4 +21,9 @@
   public void sleepMs(long durationMs) throws InterruptedException {
     Thread.sleep(durationMs);
   }
+
+  @Override
+  public boolean awaitMs(CountDownLatch latch, long timeoutMs) throws InterruptedException {
+    return latch.await(timeoutMs, TimeUnit.MILLISECONDS);
+  }
 }
--- a/core/src/main/java/io/lycheejunction/core/clock/RuntimeClock.java
+++ b/core/src/main/java/io/lycheejunction/core/clock/RuntimeClock.java
@@ -1,5 +1,7 @@
 package io.lycheejunction.core.clock;
 
+import java.util.concurrent.CountDownLatch;
+
 /**
  * The clock of the runtime; every wait and every reading of time goes through it.
  *
@@ -28,4 +30,23 @@
    * @throws InterruptedException if the thread is interrupted
    */
   void sleepMs(long durationMs) throws InterruptedException;
+
+  /**
+   * Returns whether the latch reached zero before the given time passed on this clock.
+   *
+   * @param latch the latch to wait for
+   * @param timeoutMs the time to wait, in milliseconds
+   * @return true if the latch is at zero
+   * @throws InterruptedException if the thread is interrupted
+   */
+  default boolean awaitMs(CountDownLatch latch, long timeoutMs) throws InterruptedException {
+    long untilMs = monotonicMs() + timeoutMs;
+    while (latch.getCount() > 0) {
+      if (monotonicMs() >= untilMs) {
+        return false;
+      }
+      sleepMs(1);
+    }
+    return true;
+  }
 }
--- a/core/src/test/java/io/lycheejunction/core/clock/ManualClock.java
+++ b/core/src/test/java/io/lycheejunction/core/clock/ManualClock.java
@@ -3,6 +3,8 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A clock that stands still until a test advances it.
@@ -12,6 +14,7 @@
  * that advances the clock, in order of time.
  */
 public final class ManualClock implements RuntimeClock {
+  private static final long LATCH_POLL_MS = 1;
   private static final long START_WALL_MS = 1_700_000_000_000L;
 
   private record Action(long atMs, Runnable body) {}
@@ -58,6 +61,20 @@
     }
   }
 
+  @Override
+  public boolean awaitMs(CountDownLatch latch, long timeoutMs) throws InterruptedException {
+    if (autoAdvance) {
+      return RuntimeClock.super.awaitMs(latch, timeoutMs);
+    }
+    long untilMs = monotonicMs() + timeoutMs;
+    while (!latch.await(LATCH_POLL_MS, TimeUnit.MILLISECONDS)) {
+      if (monotonicMs() >= untilMs) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Runs the action once the clock has reached the given time from now. */
   public synchronized void afterMs(long delayMs, Runnable body) {
     actions.add(new Action(nowMs + delayMs, body));
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalFloors.java
@@ -0,0 +1,103 @@
+package io.lycheejunction.proxy.holder;
+
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.configuration.Durability;
+import io.lycheejunction.core.configuration.TargetSpec;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.port.TargetPort;
+import io.lycheejunction.core.port.TargetStatus;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * Finds positions that include every acknowledged write of a group.
+ *
+ * <p>The position is the end of the primary's log, read after the call and received by a majority
+ * in a confirmed term. Concurrent calls for a group share one round.
+ */
+final class LocalFloors {
+  private static final long ROUND_TIMEOUT_MS = 2_000;
+
+  private final HeldTargets targets;
+  private final GroupWatch watch;
+  private final TargetPort port;
+  private final Acknowledgement acknowledgement;
+  private final RuntimeClock clock;
+  private final Map<String, SharedRound<LogPosition>> rounds = new ConcurrentHashMap<>();
+
+  LocalFloors(
+      HeldTargets targets,
+      GroupWatch watch,
+      TargetPort port,
+      Acknowledgement acknowledgement,
+      RuntimeClock clock) {
+    this.targets = targets;
+    this.watch = watch;
+    this.port = port;
+    this.acknowledgement = acknowledgement;
+    this.clock = clock;
+  }
+
+  /** Returns the position, or {@code NOT_HOLDER} if another proxy holds the primary. */
+  Result<LogPosition> floor(String group, Deadline deadline) {
+    Optional<String> primary = watch.view(group).primary();
+    if (primary.isEmpty()) {
+      return Result.failure(ResultCode.NO_PRIMARY, group);
+    }
+    return targets
+        .find(group, primary.get())
+        .flatMap(
+            held ->
+                rounds
+                    .computeIfAbsent(group, name -> new SharedRound<>(() -> round(name)))
+                    .call(deadline));
+  }
+
+  private Result<LogPosition> round(String group) {
+    Deadline deadline = Deadline.in(clock, ROUND_TIMEOUT_MS);
+    GroupView view = watch.view(group);
+    return watch
+        .confirmTerm(group, view.term(), deadline.remainingMs())
+        .flatMap(confirmed -> endOfLog(confirmed, deadline))
+        .flatMap(end -> confirmed(group, end, deadline));
+  }
+
+  private Result<LogPosition> endOfLog(GroupView view, Deadline deadline) {
+    Optional<String> primary = view.primary();
+    if (primary.isEmpty()) {
+      return Result.failure(ResultCode.NO_PRIMARY, view.group());
+    }
+    return targets
+        .find(view.group(), primary.get())
+        .flatMap(held -> status(view.group(), held.spec(), deadline))
+        .flatMap(
+            status ->
+                status.role() == Role.PRIMARY && status.term() == view.term()
+                    ? Result.success(status.received())
+                    : Result.failure(ResultCode.NO_PRIMARY, "the primary was replaced"));
+  }
+
+  private Result<TargetStatus> status(String group, TargetSpec primary, Deadline deadline) {
+    Result<TargetStatus> status = port.status(primary, deadline.remainingMs());
+    if (status instanceof Result.Failure<TargetStatus>(Fault fault)) {
+      watch.unreachable(group, primary.name(), fault.detail().startsWith("refused"));
+      return Result.failure(ResultCode.NO_PRIMARY, "the primary gave no status");
+    }
+    return status;
+  }
+
+  private Result<LogPosition> confirmed(String group, LogPosition end, Deadline deadline) {
+    Result<GroupView> view =
+        acknowledgement.await(group, end.term(), Durability.MAJORITY, end, deadline);
+    return view.isEmpty()
+        ? Result.failure(ResultCode.MAJORITY_LOST, "no majority confirmed the end of the log")
+        : Result.success(end);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalOutcomes.java
@@ -0,0 +1,80 @@
+package io.lycheejunction.proxy.holder;
+
+import io.lycheejunction.core.admission.Ask;
+import io.lycheejunction.core.admission.Lane;
+import io.lycheejunction.core.configuration.Durability;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.port.KeyOutcome;
+import io.lycheejunction.core.port.TargetPort;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import java.util.List;
+import java.util.Optional;
+
+/** Looks up idempotency keys on primaries that this proxy holds. */
+final class LocalOutcomes {
+  private static final String SETTLER = "key-outcomes";
+
+  private final HeldTargets targets;
+  private final GroupWatch watch;
+  private final TargetPort port;
+  private final Acknowledgement acknowledgement;
+
+  LocalOutcomes(
+      HeldTargets targets, GroupWatch watch, TargetPort port, Acknowledgement acknowledgement) {
+    this.targets = targets;
+    this.watch = watch;
+    this.port = port;
+    this.acknowledgement = acknowledgement;
+  }
+
+  /** Returns what a majority has received for a key, or {@code NOT_HOLDER}. */
+  Result<KeyAnswer> outcome(KeyQuery query, Deadline deadline) {
+    return targets
+        .find(query.group(), query.target())
+        .flatMap(held -> confirm(query, deadline).flatMap(view -> ask(query, held, deadline)))
+        .map(LocalOutcomes::answer)
+        .flatMap(answer -> acknowledge(query, answer, deadline));
+  }
+
+  private Result<GroupView> confirm(KeyQuery query, Deadline deadline) {
+    if (deadline.isPassed()) {
+      return Deadline.exceeded();
+    }
+    Result<GroupView> view = watch.confirmTerm(query.group(), query.term(), deadline.remainingMs());
+    return view.flatMap(
+        confirmed ->
+            confirmed.primary().equals(Optional.of(query.target()))
+                ? view
+                : Result.failure(ResultCode.NOT_PRIMARY, query.target()));
+  }
+
+  private Result<KeyOutcome> ask(KeyQuery query, HeldTarget held, Deadline deadline) {
+    Ask ask = new Ask(SETTLER, 1, SETTLER, Lane.URGENT, deadline.remainingMs());
+    return held.slotted(
+        ask,
+        Optional::empty,
+        () ->
+            query.cancelIfAbsent()
+                ? port.cancel(held.spec(), query.term(), query.key(), deadline.remainingMs())
+                : port.lookUp(held.spec(), query.term(), query.key(), deadline.remainingMs()));
+  }
+
+  private Result<KeyAnswer> acknowledge(KeyQuery query, KeyAnswer answer, Deadline deadline) {
+    return acknowledgement
+        .await(query.group(), query.term(), Durability.MAJORITY, answer.position(), deadline)
+        .map(view -> answer);
+  }
+
+  private static KeyAnswer answer(KeyOutcome outcome) {
+    return switch (outcome) {
+      case KeyOutcome.Recorded recorded ->
+          new KeyAnswer(KeyAnswer.State.RECORDED, recorded.rows(), recorded.position());
+      case KeyOutcome.Cancelled cancelled ->
+          new KeyAnswer(KeyAnswer.State.CANCELLED, List.of(), cancelled.position());
+      case KeyOutcome.Absent absent ->
+          new KeyAnswer(KeyAnswer.State.ABSENT, List.of(), absent.position());
+    };
+  }
+}
