Test the pooled holder against fakes of targets and of the group watch

Change: tests of writes, reads, transactions, outcomes, floors, drain and rebalance; a commit of a forgotten transaction is unknown, one of a malformed identifier refused.

--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/FinishedTransactions.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/FinishedTransactions.java
@@ -50,8 +50,15 @@
     if (finished.isPresent()) {
       return finished.get().outcome();
     }
+    return forgotten(step);
+  }
+
+  /** Returns the answer to a step of a transaction of which nothing is remembered. */
+  static Result<HeldAnswer> forgotten(TransactionStep step) {
     String secret = step.id().substring(step.id().lastIndexOf(':') + 1);
-    return SECRET.matcher(secret).matches()
+    boolean mayBeCommitted =
+        step.action().kind() == TransactionStep.Kind.COMMIT && SECRET.matcher(secret).matches();
+    return mayBeCommitted
         ? Result.failure(ResultCode.UNKNOWN_OUTCOME, "the transaction may have been committed")
         : unknownTransaction();
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/PooledHolders.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/PooledHolders.java
@@ -116,7 +116,7 @@
     }
     Optional<Vm> peer = peers.find(holder);
     if (peer.isEmpty()) {
-      return gone(step);
+      return FinishedTransactions.forgotten(step);
     }
     return forward(peer.get(), Forwarder.STEP, step, HeldAnswer.class, step.remainingMs());
   }
@@ -243,11 +243,4 @@
   private Deadline deadline(long remainingMs) {
     return Deadline.in(clock, remainingMs);
   }
-
-  /** A proxy that is gone took its connections along; only a commit may have had an effect. */
-  private static Result<HeldAnswer> gone(TransactionStep step) {
-    return step.action().kind() == TransactionStep.Kind.COMMIT
-        ? Result.failure(ResultCode.UNKNOWN_OUTCOME, "the transaction's proxy is gone")
-        : Result.failure(ResultCode.UNKNOWN_TRANSACTION, "the transaction's proxy is gone");
-  }
 }
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
@@ -0,0 +1,380 @@
+package io.lycheejunction.proxy.holder;
+
+import static io.lycheejunction.proxy.holder.HolderFixture.code;
+import static io.lycheejunction.proxy.holder.HolderFixture.read;
+import static io.lycheejunction.proxy.holder.HolderFixture.value;
+import static io.lycheejunction.proxy.holder.HolderFixture.with;
+import static io.lycheejunction.proxy.holder.HolderFixture.write;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.configuration.CutOffReads;
+import io.lycheejunction.core.configuration.Durability;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.port.KeyOutcome;
+import io.lycheejunction.core.port.TargetReply;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class PooledHoldersTest {
+  private static final String READS = "lycheejunction.holder.reads";
+  private static final Fault LOST = Fault.of(ResultCode.MAJORITY_LOST, "lost");
+  private static final Fault UNKNOWN = Fault.of(ResultCode.UNKNOWN_OUTCOME, "unknown");
+
+  private final HolderFixture fixture = new HolderFixture();
+  private final FakeTargets targets = fixture.targets;
+  private final FakeWatch watch = fixture.watch;
+
+  private static LogPosition at(long term, long offset) {
+    return new LogPosition(term, offset);
+  }
+
+  @Nested
+  class Forwarding {
+    @Test
+    void shouldForwardWhenAnotherProxyHoldsTarget() {
+      HeldAnswer answer =
+          value(fixture.first.execute(read("t2", LogPosition.ORIGIN, Optional.of(50L))));
+      assertEquals(List.of("row of r"), answer.rows());
+      assertEquals(Optional.of(5L), answer.ageMs());
+    }
+
+    @Test
+    void shouldRefuseNotHolderWhenPeerDisagrees() {
+      fixture.liveToSecond.clear();
+      fixture.liveToSecond.add(HolderFixture.vm("vm1", "d2"));
+      Result<HeldAnswer> result = fixture.first.execute(write("t2"));
+      assertEquals(Optional.of(ResultCode.NOT_HOLDER), code(result));
+      assertTrue(targets.executed.isEmpty());
+    }
+
+    @Test
+    void shouldStayUnknownWhenPeerReplyIsLost() {
+      fixture.transportFault = UNKNOWN;
+      assertEquals(
+          Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write("t2"))));
+    }
+  }
+
+  @Nested
+  class Writes {
+    @Test
+    void shouldAcknowledgeWhenMajorityReceived() {
+      HeldAnswer answer = value(fixture.first.execute(write("t1")));
+      assertEquals(at(1, 10), answer.position());
+      assertEquals(List.of(at(1, 10)), watch.confirmedPositions);
+    }
+
+    @Test
+    void shouldNotDispatchWhenMajorityIsLost() {
+      watch.termFault = LOST;
+      assertEquals(Optional.of(ResultCode.MAJORITY_LOST), code(fixture.first.execute(write("t1"))));
+      assertTrue(targets.executed.isEmpty());
+    }
+
+    @Test
+    void shouldNotDispatchWhenTargetIsNotPrimary() {
+      watch.view = new GroupView("g", 2, Optional.of("t2"), at(2, 11));
+      assertEquals(Optional.of(ResultCode.NOT_PRIMARY), code(fixture.first.execute(write("t1"))));
+      assertTrue(targets.executed.isEmpty());
+    }
+
+    @Test
+    void shouldBeUnknownWhenReceiptFails() {
+      watch.receivedFault = UNKNOWN;
+      assertEquals(
+          Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write("t1"))));
+    }
+
+    @Test
+    void shouldConfirmAgainWhenLeaseLapsedOnce() {
+      int[] checks = {0};
+      watch.mayAcknowledge = () -> ++checks[0] != 2;
+      value(fixture.first.execute(write("t1")));
+      assertEquals(2, watch.confirmedPositions.size());
+    }
+
+    @Test
+    void shouldBeUnknownWhenLeaseKeepsLapsing() {
+      watch.mayAcknowledge = () -> false;
+      assertEquals(
+          Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write("t1"))));
+    }
+
+    @Test
+    void shouldBeUnknownWhenLeaseLapsedAndDurabilityIsPrimary() {
+      targets.script =
+          request -> {
+            watch.mayAcknowledge = () -> false;
+            watch.termFault = LOST;
+            return new TargetReply.Answered(List.of(), at(1, 11), false);
+          };
+      HeldStatement write = with(write("t1"), CutOffReads.REFUSE, Durability.PRIMARY);
+      assertEquals(Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write)));
+    }
+
+    @Test
+    void shouldSkipReceiptWhenDurabilityIsPrimary() {
+      value(fixture.first.execute(with(write("t1"), CutOffReads.REFUSE, Durability.PRIMARY)));
+      assertTrue(watch.confirmedPositions.isEmpty());
+    }
+
+    @Test
+    void shouldCloseConnectionWhenReplyIsUnknown() {
+      targets.script = request -> new TargetReply.Unknown("lost");
+      assertEquals(
+          Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write("t1"))));
+      assertEquals(0, targets.open);
+      assertEquals(List.of("t1 silent"), watch.unreachable);
+    }
+
+    @Test
+    void shouldReuseConnectionWhenTargetRefuses() {
+      targets.script = request -> new TargetReply.NotRun(Fault.of(ResultCode.BAD_STATEMENT, "bad"));
+      fixture.first.execute(write("t1"));
+      assertEquals(Optional.of(ResultCode.BAD_STATEMENT), code(fixture.first.execute(write("t1"))));
+      assertEquals(1, targets.opened);
+    }
+
+    @Test
+    void shouldRefuseWhenTargetIsLeaving() {
+      fixture.leaving.add("t1");
+      assertEquals(
+          Optional.of(ResultCode.TARGET_LEAVING), code(fixture.first.execute(write("t1"))));
+      assertTrue(targets.executed.isEmpty());
+    }
+
+    @Test
+    void shouldReportTargetWhenItRefusesConnections() {
+      targets.openFault = Fault.of(ResultCode.TARGET_UNREACHABLE, "refused by peer");
+      assertEquals(
+          Optional.of(ResultCode.TARGET_UNREACHABLE), code(fixture.first.execute(write("t1"))));
+      assertEquals(List.of("t1 refused"), watch.unreachable);
+    }
+
+    @Test
+    void shouldOpenCircuitWhenTargetStaysSilentAndCloseItLater() {
+      targets.openFault = Fault.of(ResultCode.TARGET_UNREACHABLE, "silence");
+      for (int i = 0; i < 10; i++) {
+        fixture.first.execute(write("t1"));
+      }
+      assertEquals(Optional.of(ResultCode.CIRCUIT_OPEN), code(fixture.first.execute(write("t1"))));
+      targets.openFault = null;
+      fixture.clock.advanceMs(501);
+      value(fixture.first.execute(write("t1")));
+    }
+  }
+
+  @Nested
+  class Reads {
+    @Test
+    void shouldRefuseWhenAnswerIsBehindFloor() {
+      watch.applied = at(1, 12);
+      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
+      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
+    }
+
+    @Test
+    void shouldNotDispatchWhenReplicaDoesNotCatchUp() {
+      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
+      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
+      assertTrue(targets.executed.isEmpty());
+    }
+
+    @Test
+    void shouldWaitWhenReplicaCatchesUpSoon() {
+      fixture.clock.afterMs(8, () -> targets.positions.put("t2", at(1, 11)));
+      HeldAnswer answer = value(fixture.second.execute(read("t2", at(1, 11), Optional.empty())));
+      assertEquals(at(1, 11), answer.position());
+    }
+
+    @Test
+    void shouldCompareTermFirstWhenReplicaHasLongerOldLog() {
+      watch.applied = at(1, 99);
+      targets.positions.put("t2", at(1, 99));
+      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(2, 3), Optional.empty()));
+      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
+    }
+
+    @Test
+    void shouldWithholdSuffixWhenTermWasReplaced() {
+      watch.view = new GroupView("g", 2, Optional.of("t1"), at(2, 11));
+      targets.positions.put("t2", at(1, 12));
+      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 5), Optional.of(9_999L)));
+      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
+    }
+
+    @Test
+    void shouldWithholdSuffixWhenCutOffPrimaryIsReadWithAge() {
+      watch.termFault = LOST;
+      watch.receivedFault = UNKNOWN;
+      targets.positions.put("t1", at(1, 12));
+      Result<HeldAnswer> result = fixture.first.execute(read("t1", at(1, 5), Optional.of(9_999L)));
+      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
+    }
+
+    @Test
+    void shouldServeConfirmedDataWhenCutOffPrimaryIsReadWithAge() {
+      watch.termFault = LOST;
+      value(fixture.first.execute(read("t1", at(1, 5), Optional.of(9_999L))));
+      assertEquals(1.0, fixture.registry.counter(READS, "role", "replica").count());
+    }
+
+    @Test
+    void shouldRefuseWhenAgeIsTooHigh() {
+      watch.ageMs = OptionalLong.of(51);
+      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 5), Optional.of(50L)));
+      assertEquals(Optional.of(ResultCode.AGE_NOT_PROVEN), code(result));
+    }
+
+    @Test
+    void shouldServeOlderWhenCutOffAndRuleAllowsIt() {
+      watch.ageMs = OptionalLong.empty();
+      watch.termFault = LOST;
+      HeldStatement read =
+          with(
+              read("t2", at(1, 5), Optional.of(50L)), CutOffReads.SERVE_OLDER, Durability.MAJORITY);
+      assertEquals(Optional.empty(), value(fixture.second.execute(read)).ageMs());
+    }
+
+    @Test
+    void shouldKeepFloorWhenOlderDataIsAllowed() {
+      watch.ageMs = OptionalLong.empty();
+      watch.termFault = LOST;
+      HeldStatement read =
+          with(
+              read("t2", at(1, 11), Optional.of(50L)),
+              CutOffReads.SERVE_OLDER,
+              Durability.MAJORITY);
+      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(fixture.second.execute(read)));
+    }
+
+    @Test
+    void shouldWithholdPrimaryDataWhenNoMajorityConfirmsIt() {
+      watch.receivedFault = UNKNOWN;
+      Result<HeldAnswer> result = fixture.first.execute(read("t1", at(1, 5), Optional.empty()));
+      assertEquals(Optional.of(ResultCode.MAJORITY_LOST), code(result));
+    }
+  }
+
+  @Nested
+  class Outcomes {
+    private final KeyQuery query = new KeyQuery("g", "t1", 1, "key", true, 1_000);
+
+    @Test
+    void shouldTellCancelWhenMajorityReceivedIt() {
+      targets.keyOutcome = Result.success(new KeyOutcome.Cancelled(at(1, 11)));
+      assertEquals(KeyAnswer.State.CANCELLED, value(fixture.second.outcome(query)).state());
+      assertEquals(List.of(at(1, 11)), watch.confirmedPositions);
+    }
+
+    @Test
+    void shouldStayUnknownWhenCancelIsNotReceived() {
+      targets.keyOutcome = Result.success(new KeyOutcome.Cancelled(at(1, 11)));
+      watch.receivedFault = UNKNOWN;
+      assertEquals(Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.outcome(query)));
+    }
+  }
+
+  @Nested
+  class Floors {
+    @Test
+    void shouldReturnConfirmedEndOfLogWhenAskedAtAnotherProxy() {
+      targets.positions.put("t1", at(1, 14));
+      assertEquals(at(1, 14), value(fixture.second.floor("g", 1_000)));
+      assertEquals(List.of(at(1, 14)), watch.confirmedPositions);
+    }
+
+    @Test
+    void shouldRefuseWhenPrimaryHasBeenReplaced() {
+      targets.positions.put("t1", at(2, 14));
+      assertEquals(Optional.of(ResultCode.NO_PRIMARY), code(fixture.first.floor("g", 1_000)));
+    }
+
+    @Test
+    void shouldRefuseWhenMajorityDoesNotConfirm() {
+      watch.receivedFault = UNKNOWN;
+      assertEquals(Optional.of(ResultCode.MAJORITY_LOST), code(fixture.first.floor("g", 1_000)));
+    }
+  }
+
+  @Nested
+  class Drain {
+    @Test
+    void shouldFinishOpenTransactionAndTakeNoNewWork() {
+      TransactionId id = value(fixture.first.begin(HolderFixture.start()));
+      fixture.first.drain();
+      assertEquals(Optional.of(ResultCode.SHUTTING_DOWN), code(fixture.first.execute(write("t1"))));
+      assertEquals(
+          Optional.of(ResultCode.SHUTTING_DOWN), code(fixture.first.begin(HolderFixture.start())));
+      fixture.clock.afterMs(
+          50, () -> value(fixture.first.step(HolderFixture.step(id, TransactionStep.Kind.COMMIT))));
+      assertTrue(fixture.first.awaitIdle(1_000));
+      assertEquals(0, targets.open);
+    }
+
+    @Test
+    void shouldRollBackWhenTransactionOutlastsBound() {
+      value(fixture.first.begin(HolderFixture.start()));
+      fixture.first.drain();
+      assertFalse(fixture.first.awaitIdle(100));
+      assertEquals(0, targets.open);
+    }
+  }
+
+  @Nested
+  class Rebalance {
+    @Test
+    void shouldWarmForSlotsWhenTargetIsTakenOver() {
+      fixture.first.rebalance();
+      assertEquals(HolderFixture.SLOTS, targets.open);
+    }
+
+    @Test
+    void shouldUseHalfOfConnectionsWhenHandoverIsRunning() {
+      fixture.first.rebalance();
+      Result<TransactionId> last = beginMany(HolderFixture.CONNECTIONS / 2);
+      assertEquals(Optional.of(ResultCode.DEADLINE_EXCEEDED), code(last));
+      fixture.clock.advanceMs(3_000);
+      fixture.first.rebalance();
+      value(fixture.first.begin(HolderFixture.start()));
+    }
+
+    private Result<TransactionId> beginMany(int count) {
+      for (int i = 1; i < count; i++) {
+        value(fixture.first.begin(HolderFixture.start()));
+      }
+      return fixture.first.begin(HolderFixture.start());
+    }
+
+    @Test
+    void shouldClosePoolWhenAnotherProxyTakesOver() {
+      fixture.first.rebalance();
+      fixture.live.removeFirst();
+      fixture.first.rebalance();
+      assertEquals(0, targets.open);
+    }
+
+    @Test
+    void shouldShrinkToWarmSizeWhenConnectionsAreIdle() {
+      fixture.first.rebalance();
+      fixture.clock.advanceMs(3_000);
+      fixture.first.rebalance();
+      beginMany(3);
+      assertEquals(3, targets.open);
+      fixture.clock.advanceMs(5_000);
+      fixture.first.rebalance();
+      fixture.clock.advanceMs(30_000);
+      fixture.first.rebalance();
+      assertEquals(HolderFixture.SLOTS, targets.open);
+    }
+  }
+}
