Model database groups and the platform in memory

Cause: the parts that watch groups, hold connections and read the platform need something to be tested against. Change: groups with terms, fences, promotions, lagging replication with truncation, a keyed ledger and transactions; ports to them and to the platform from one failure domain, with cuts and injected faults. Replication is computed from the injected clock, so that tests are deterministic.

--- /dev/null
+++ b/standin/src/main/java/io/lycheejunction/standin/model/GroupModel.java
@@ -0,0 +1,338 @@
+package io.lycheejunction.standin.model;
+
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.configuration.TargetSpec;
+import io.lycheejunction.core.port.KeyOutcome;
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.port.TargetStatus;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A database group whose replication is computed from the clock at each call.
+ *
+ * <p>The first instance starts as the primary of term 1, with its first entry on every instance. A
+ * restarted instance keeps its log, its term and its role. Safe for use by several threads.
+ */
+public final class GroupModel {
+  private static final long FIRST_TERM = 1;
+  private static final long POLL_MS = 1;
+
+  final Object lock = new Object();
+  final RuntimeClock clock;
+
+  private final String name;
+  private final ModelLimits limits;
+  private final Map<String, Instance> instances = new LinkedHashMap<>();
+  private final Replication replication;
+
+  /**
+   * Creates a group.
+   *
+   * @param name the name of the group
+   * @param targets its instances; the first is the primary
+   * @param limits the limits of each instance
+   * @param links the links between failure domains
+   * @param clock the runtime clock
+   */
+  public GroupModel(
+      String name, List<TargetSpec> targets, ModelLimits limits, Links links, RuntimeClock clock) {
+    this.name = Objects.requireNonNull(name, "name is null");
+    this.limits = Objects.requireNonNull(limits, "limits is null");
+    this.clock = Objects.requireNonNull(clock, "clock is null");
+    targets.forEach(target -> instances.put(target.name(), new Instance(target)));
+    replication = new Replication(List.copyOf(instances.values()), links);
+    start();
+    links.onChange(this::refresh);
+  }
+
+  private void start() {
+    LogEntry first =
+        new LogEntry(new LogPosition(FIRST_TERM, 1), List.of(), Optional.empty(), List.of(), false);
+    for (Instance instance : instances.values()) {
+      instance.term = FIRST_TERM;
+      instance.claimant = name;
+      instance.append(first, clock.monotonicMs());
+    }
+    instances.values().iterator().next().role = Role.PRIMARY;
+    refresh();
+  }
+
+  void refresh() {
+    synchronized (lock) {
+      replication.refresh(clock.monotonicMs());
+    }
+  }
+
+  private void settle() {
+    replication.settle(clock.monotonicMs());
+  }
+
+  /** Returns the instance of the name with all that is due delivered. */
+  Instance settled(String target) {
+    Instance instance = instances.get(target);
+    if (instance == null) {
+      throw new IllegalArgumentException("unknown target " + target);
+    }
+    settle();
+    return instance;
+  }
+
+  ModelLimits limits() {
+    return limits;
+  }
+
+  /**
+   * Returns the name of the group.
+   *
+   * @return the name
+   */
+  public String name() {
+    return name;
+  }
+
+  /**
+   * Returns the instances of the group.
+   *
+   * @return the instances, in order
+   */
+  public List<TargetSpec> targets() {
+    return instances.values().stream().map(instance -> instance.spec).toList();
+  }
+
+  /**
+   * Returns whether the group has an instance of the name.
+   *
+   * @param target the name of the instance
+   * @return true if it has
+   */
+  public boolean has(String target) {
+    return instances.containsKey(target);
+  }
+
+  /**
+   * Returns the status of an instance.
+   *
+   * @param target the name of the instance
+   * @return the status
+   */
+  public TargetStatus status(String target) {
+    synchronized (lock) {
+      return settled(target).status();
+    }
+  }
+
+  /**
+   * Returns the status once the instance has received the position, or after the timeout.
+   *
+   * @param target the name of the instance
+   * @param position the position to wait for
+   * @param timeoutMs the time to wait, in milliseconds
+   * @return the status
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public TargetStatus awaitReceived(String target, LogPosition position, long timeoutMs)
+      throws InterruptedException {
+    long untilMs = clock.monotonicMs() + timeoutMs;
+    TargetStatus status = status(target);
+    while (!status.received().isAtLeast(position) && clock.monotonicMs() < untilMs) {
+      clock.sleepMs(POLL_MS);
+      status = status(target);
+    }
+    return status;
+  }
+
+  /**
+   * Returns the status after the instance has accepted the term for the claimant.
+   *
+   * @param target the name of the instance
+   * @param term the claimed term
+   * @param claimant identifies the claim
+   * @return the status, or {@code TERM_TAKEN}
+   */
+  public Result<TargetStatus> fence(String target, long term, String claimant) {
+    synchronized (lock) {
+      Instance instance = settled(target);
+      if (term > instance.term) {
+        instance.accept(term, claimant);
+        refresh();
+        return Result.success(instance.status());
+      }
+      return term == instance.term && claimant.equals(instance.claimant)
+          ? Result.success(instance.status())
+          : taken(instance);
+    }
+  }
+
+  /**
+   * Returns the status after the instance has become the primary of the term.
+   *
+   * @param target the name of the instance
+   * @param term the claimed term
+   * @param claimant identifies the claim
+   * @return the status, or {@code TERM_TAKEN}
+   */
+  public Result<TargetStatus> promote(String target, long term, String claimant) {
+    synchronized (lock) {
+      Instance instance = settled(target);
+      if (term != instance.term || !claimant.equals(instance.claimant)) {
+        return taken(instance);
+      }
+      if (instance.role == Role.REPLICA) {
+        instance.role = Role.PRIMARY;
+        append(instance, List.of(), Optional.empty(), List.of(), false);
+        refresh();
+      }
+      return Result.success(instance.status());
+    }
+  }
+
+  private static <T> Result<T> taken(Instance instance) {
+    return Result.failure(
+        ResultCode.TERM_TAKEN, instance.spec.name() + " has accepted term " + instance.term);
+  }
+
+  /**
+   * Returns what the primary's ledger records for a key.
+   *
+   * @param target the name of the primary
+   * @param term the term in which it must be the primary
+   * @param key the idempotency key
+   * @return the outcome, or {@code NOT_PRIMARY}
+   */
+  public Result<KeyOutcome> lookUp(String target, long term, String key) {
+    synchronized (lock) {
+      Instance instance = settled(target);
+      if (!instance.isPrimaryOf(term)) {
+        return Result.failure(ResultCode.NOT_PRIMARY, target + " is not primary of " + term);
+      }
+      return Result.success(
+          instance
+              .ledgers()
+              .recorded(key)
+              .map(GroupModel::outcome)
+              .orElse(new KeyOutcome.Absent(instance.applied())));
+    }
+  }
+
+  private static KeyOutcome outcome(LogEntry entry) {
+    return entry.cancels()
+        ? new KeyOutcome.Cancelled(entry.position())
+        : new KeyOutcome.Recorded(entry.position(), entry.rows());
+  }
+
+  /**
+   * Returns the outcome of a key after writing a cancel row if the ledger had none.
+   *
+   * @param target the name of the primary
+   * @param term the term in which it must be the primary
+   * @param key the idempotency key
+   * @return recorded or cancelled, or {@code NOT_PRIMARY}
+   */
+  public Result<KeyOutcome> cancel(String target, long term, String key) {
+    synchronized (lock) {
+      return lookUp(target, term, key)
+          .map(
+              outcome ->
+                  outcome instanceof KeyOutcome.Absent
+                      ? new KeyOutcome.Cancelled(writeCancel(settled(target), key))
+                      : outcome);
+    }
+  }
+
+  private LogPosition writeCancel(Instance instance, String key) {
+    return append(instance, List.of(), Optional.of(key), List.of(), true).position();
+  }
+
+  /** Appends an entry to the log of a primary and applies it there. */
+  LogEntry append(
+      Instance primary,
+      List<String> statements,
+      Optional<String> key,
+      List<String> rows,
+      boolean cancels) {
+    LogPosition position = new LogPosition(primary.term, primary.size() + 1L);
+    LogEntry entry = new LogEntry(position, statements, key, rows, cancels);
+    primary.append(entry, clock.monotonicMs());
+    primary.apply(clock.monotonicMs());
+    return entry;
+  }
+
+  /**
+   * Returns a new session on an instance, after the time to set it up.
+   *
+   * @param target the name of the instance
+   * @return the session, or {@code NO_CONNECTION} when the limit is reached
+   * @throws InterruptedException if the thread is interrupted
+   */
+  public Result<ModelSession> open(String target) throws InterruptedException {
+    ModelSession session;
+    synchronized (lock) {
+      Instance instance = settled(target);
+      if (instance.sessions.size() >= limits.connections()) {
+        return Result.failure(ResultCode.NO_CONNECTION, target + " has no connection left");
+      }
+      session = new ModelSession(this, instance);
+      instance.sessions.add(session);
+    }
+    if (limits.connectMs() > 0) {
+      clock.sleepMs(limits.connectMs());
+    }
+    return Result.success(session);
+  }
+
+  /**
+   * Returns the faults of the group's instances, for tests to set.
+   *
+   * @return the faults
+   */
+  public GroupFaults faults() {
+    return new GroupFaults(this);
+  }
+
+  /**
+   * Returns the whole log of an instance.
+   *
+   * @param target the name of the instance
+   * @return the entries, in order
+   */
+  public List<LogEntry> log(String target) {
+    synchronized (lock) {
+      return settled(target).entries();
+    }
+  }
+
+  /**
+   * Returns the applied rows of a ledger on an instance.
+   *
+   * @param target the name of the instance
+   * @param ledger the name of the ledger
+   * @return the rows
+   */
+  public List<LedgerRow> ledger(String target, String ledger) {
+    synchronized (lock) {
+      return settled(target).ledgers().rows(ledger);
+    }
+  }
+
+  /**
+   * Returns the running primary of the highest term.
+   *
+   * @return the name of the instance, or empty if none is running
+   */
+  public Optional<String> primary() {
+    synchronized (lock) {
+      settle();
+      return instances.values().stream()
+          .filter(instance -> instance.role == Role.PRIMARY && instance.isRunning())
+          .max(java.util.Comparator.comparingLong(instance -> instance.term))
+          .map(instance -> instance.spec.name());
+    }
+  }
+}
