Replace nested record patterns that the linter rejects

Cause: checkstyle reports GenericWhitespace on qualified generic record patterns. Change: type patterns and fold in their place. Conclusion: same behaviour.

--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTarget.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTarget.java
@@ -163,8 +163,8 @@
           new Fault(ResultCode.CIRCUIT_OPEN, spec.name(), breaker.retryAfterMs()));
     }
     Result<TargetConnection> taken = pool.take(deadline.remainingMs(connectTimeoutMs));
-    if (taken instanceof Result.Failure<TargetConnection>(Fault fault)) {
-      notConnected(fault);
+    if (taken instanceof Result.Failure<TargetConnection> failure) {
+      notConnected(failure.fault());
     } else {
       breaker.unused();
     }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalFloors.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalFloors.java
@@ -8,7 +8,6 @@
 import io.lycheejunction.core.port.Role;
 import io.lycheejunction.core.port.TargetPort;
 import io.lycheejunction.core.port.TargetStatus;
-import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
@@ -86,8 +85,9 @@
 
   private Result<TargetStatus> status(String group, TargetSpec primary, Deadline deadline) {
     Result<TargetStatus> status = port.status(primary, deadline.remainingMs());
-    if (status instanceof Result.Failure<TargetStatus>(Fault fault)) {
-      watch.unreachable(group, primary.name(), fault.detail().startsWith("refused"));
+    if (status instanceof Result.Failure<TargetStatus> failure) {
+      boolean refused = failure.fault().detail().startsWith("refused");
+      watch.unreachable(group, primary.name(), refused);
       return Result.failure(ResultCode.NO_PRIMARY, "the primary gave no status");
     }
     return status;
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalStatements.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalStatements.java
@@ -88,10 +88,10 @@
   private Result<HeldAnswer> primaryRead(HeldStatement read, HeldTarget held, Deadline deadline) {
     long term = watch.view(read.group()).term();
     Result<GroupView> confirmed = confirm(read, term, deadline);
-    if (confirmed instanceof Result.Failure<GroupView>(Fault fault)) {
+    if (confirmed instanceof Result.Failure<GroupView> failure) {
       return read.maxAgeMs().isPresent()
           ? replicaReads.read(read, held, deadline)
-          : Result.failure(fault);
+          : Result.failure(failure.fault());
     }
     return run(read, term, held, deadline)
         .flatMap(answered -> primaryAnswer(read, term, held, answered, deadline));
@@ -109,9 +109,9 @@
     }
     Result<GroupView> view =
         acknowledgement.await(read.group(), term, read.durability(), answered.position(), deadline);
-    if (view instanceof Result.Success<GroupView>(GroupView confirmed)) {
+    if (view instanceof Result.Success<GroupView> success) {
       metrics.readServed(Role.PRIMARY);
-      return Result.success(answer(read, held, answered, confirmed));
+      return Result.success(answer(read, held, answered, success.value()));
     }
     return Result.failure(ResultCode.MAJORITY_LOST, "no majority confirmed the data that was read");
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalTransactions.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalTransactions.java
@@ -62,19 +62,28 @@
   private Result<TransactionId> begin(
       TransactionStart start, HeldTarget held, Admission.Permit session, Deadline deadline) {
     Result<TargetConnection> connected = held.connect(deadline);
-    if (!(connected instanceof Result.Success<TargetConnection>(TargetConnection connection))) {
+    if (connected.isEmpty()) {
       session.close();
-      return connected.map(none -> new TransactionId(""));
     }
-    OpenTransaction transaction =
-        new OpenTransaction(start, held, connection, session, clock.monotonicMs());
+    return connected.flatMap(
+        connection ->
+            begin(
+                new OpenTransaction(start, held, connection, session, clock.monotonicMs()),
+                deadline));
+  }
+
+  private Result<TransactionId> begin(OpenTransaction transaction, Deadline deadline) {
+    TransactionStart start = transaction.start();
     Result<TargetReply.Answered> begun =
-        held.callOn(
-            connection,
-            ask(start, deadline),
-            () -> lastCheck(start, deadline),
-            c -> c.begin(start.term(), deadline.remainingMs()));
-    if (begun instanceof Result.Failure<TargetReply.Answered>(Fault fault)) {
+        transaction
+            .held()
+            .callOn(
+                transaction.connection(),
+                ask(start, deadline),
+                () -> lastCheck(start, deadline),
+                connection -> connection.begin(start.term(), deadline.remainingMs()));
+    if (begun instanceof Result.Failure<TargetReply.Answered> failure) {
+      Fault fault = failure.fault();
       transaction.release(fault.isNotRun());
       return Result.failure(notBegun(fault));
     }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/PooledHolders.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/PooledHolders.java
@@ -216,8 +216,8 @@
     inFlight.incrementAndGet();
     try {
       Result<T> result = work.get();
-      if (result instanceof Result.Failure<T>(Fault fault)) {
-        local.metrics().refused(fault);
+      if (result instanceof Result.Failure<T> failure) {
+        local.metrics().refused(failure.fault());
       }
       return result;
     } finally {
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/ReplicaReads.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/ReplicaReads.java
@@ -73,9 +73,9 @@
     Deadline waitUntil = Deadline.in(deadline.clock(), waitMs);
     while (!waitUntil.isPassed()) {
       Result<TargetStatus> status = port.status(held.spec(), waitUntil.remainingMs());
-      if (status instanceof Result.Success<TargetStatus>(TargetStatus now)
-          && now.applied().isAtLeast(read.floor())) {
-        return Result.success(now.applied());
+      if (status instanceof Result.Success<TargetStatus> success
+          && success.value().applied().isAtLeast(read.floor())) {
+        return Result.success(success.value().applied());
       }
       if (!waitUntil.sleepMs(waitUntil.remainingMs(settings.catchUpStepMs()))) {
         break;
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/TargetPool.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TargetPool.java
@@ -47,7 +47,7 @@
       return Result.success(pooled.get());
     }
     if (reserve()) {
-      return open(timeoutMs);
+      return openReserved(timeoutMs);
     }
     return isRetired()
         ? Result.failure(ResultCode.NOT_HOLDER, "the pool of " + target.name() + " has ended")
@@ -64,11 +64,12 @@
   /** Opens connections until the given number is open, or one cannot be opened. */
   void warm(int count, long timeoutMs) {
     while (open() < count && reserve()) {
-      Result<TargetConnection> opened = open(timeoutMs);
-      if (!(opened instanceof Result.Success<TargetConnection>(TargetConnection connection))) {
+      Result<TargetConnection> opened = openReserved(timeoutMs);
+      if (opened instanceof Result.Success<TargetConnection> success) {
+        giveBack(success.value());
+      } else {
         return;
       }
-      giveBack(connection);
     }
   }
 
@@ -122,7 +123,7 @@
     open--;
   }
 
-  private Result<TargetConnection> open(long timeoutMs) {
+  private Result<TargetConnection> openReserved(long timeoutMs) {
     boolean opened = false;
     try {
       Result<TargetConnection> connection = port.open(target, timeoutMs);
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
@@ -46,10 +46,6 @@
       return new Done(end, fault, fault);
     }
 
-    private static Done committed(End end, Result<HeldAnswer> result) {
-      return new Done(end, result, result);
-    }
-
     static Done abandoned() {
       return rolledBack(End.CLOSE, "the transaction was idle for too long");
     }
@@ -90,10 +86,10 @@
       return rollback(step, transaction, deadline);
     }
     Result<GroupView> confirmed = confirm(transaction.start(), deadline);
-    if (confirmed instanceof Result.Failure<GroupView>(Fault fault)) {
-      return isReplaced(fault)
+    if (confirmed instanceof Result.Failure<GroupView> failure) {
+      return isReplaced(failure.fault())
           ? Done.rolledBack(End.CLOSE, "the primary was replaced")
-          : Done.open(Result.failure(fault));
+          : Done.open(Result.failure(failure.fault()));
     }
     return step.action().kind() == TransactionStep.Kind.COMMIT
         ? commit(step, transaction, deadline)
@@ -118,11 +114,9 @@
                             step.action().statement(),
                             Optional.empty(),
                             deadline.remainingMs())));
-    return switch (reply) {
-      case Result.Failure<TargetReply.Answered>(Fault fault) -> refused(fault, transaction);
-      case Result.Success<TargetReply.Answered>(TargetReply.Answered answered) ->
-          answered(step, transaction, answered, deadline);
-    };
+    return reply.fold(
+        fault -> refused(fault, transaction),
+        answered -> answered(step, transaction, answered, deadline));
   }
 
   private static Done refused(Fault fault, OpenTransaction transaction) {
@@ -149,12 +143,9 @@
     Result<GroupView> view =
         acknowledgement.await(
             start.group(), start.term(), durability, answered.position(), deadline);
-    return switch (view) {
-      case Result.Failure<GroupView> lost ->
-          Done.rolledBack(End.CLOSE, "the primary's term could not be confirmed");
-      case Result.Success<GroupView>(GroupView confirmed) ->
-          Done.open(Result.success(answer(transaction, answered, confirmed)));
-    };
+    return view.fold(
+        fault -> Done.rolledBack(End.CLOSE, "the primary's term could not be confirmed"),
+        confirmed -> Done.open(Result.success(answer(transaction, answered, confirmed))));
   }
 
   private Done commit(TransactionStep step, OpenTransaction transaction, Deadline deadline) {
@@ -167,36 +158,36 @@
                 ask(start, deadline),
                 () -> passed(deadline),
                 connection -> connection.commit(step.action().key(), deadline.remainingMs()));
-    return switch (reply) {
-      case Result.Failure<TargetReply.Answered>(Fault fault) -> notCommitted(fault);
-      case Result.Success<TargetReply.Answered>(TargetReply.Answered answered) ->
-          Done.committed(
-              End.CLEAN,
-              acknowledgement
-                  .await(
-                      start.group(),
-                      start.term(),
-                      start.durability(),
-                      answered.position(),
-                      deadline)
-                  .map(view -> acknowledged(transaction, answered, view)));
-    };
+    return reply.fold(
+        TransactionSteps::notCommitted, answered -> committed(transaction, answered, deadline));
+  }
+
+  private Done committed(
+      OpenTransaction transaction, TargetReply.Answered answered, Deadline deadline) {
+    TransactionStart start = transaction.start();
+    Result<HeldAnswer> result =
+        acknowledgement
+            .await(start.group(), start.term(), start.durability(), answered.position(), deadline)
+            .map(view -> acknowledged(transaction, answered, view));
+    return new Done(End.CLEAN, result, result);
   }
 
   private static Done notCommitted(Fault fault) {
     if (!fault.isNotRun()) {
-      return Done.committed(End.CLOSE, Result.failure(fault));
+      return closed(fault);
     }
     return switch (fault.code()) {
       case QUEUE_FULL, WAIT_TOO_LONG, DEADLINE_EXCEEDED, CIRCUIT_OPEN ->
           Done.open(Result.failure(fault));
-      default -> {
-        Result<HeldAnswer> result = Result.failure(fault);
-        yield new Done(End.CLOSE, result, result);
-      }
+      default -> closed(fault);
     };
   }
 
+  private static Done closed(Fault fault) {
+    Result<HeldAnswer> result = Result.failure(fault);
+    return new Done(End.CLOSE, result, result);
+  }
+
   private HeldAnswer acknowledged(
       OpenTransaction transaction, TargetReply.Answered answered, GroupView view) {
     metrics.writeAcknowledged();
--- a/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
@@ -310,7 +310,7 @@
   class Drain {
     @Test
     void shouldFinishOpenTransactionAndTakeNoNewWork() {
-      TransactionId id = value(fixture.first.begin(HolderFixture.start()));
+      final TransactionId id = value(fixture.first.begin(HolderFixture.start()));
       fixture.first.drain();
       assertEquals(Optional.of(ResultCode.SHUTTING_DOWN), code(fixture.first.execute(write("t1"))));
       assertEquals(
