--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTarget.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTarget.java
@@ -15,6 +15,7 @@
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
+import java.util.function.LongFunction;
 import java.util.function.Supplier;
 
 /**
@@ -54,11 +55,21 @@
     this.connectTimeoutMs = settings.connectTimeoutMs();
     this.slots = new Admission(clock, limits.slots(), settings.queueCapacity());
     this.sessions = new Admission(clock, limits.transactions(), settings.queueCapacity());
-    this.pool = new TargetPool(spec, port, clock, metrics, limits.connections());
+    this.pool = new TargetPool(opener(port), clock, limits.connections());
     this.breaker = new TargetBreaker(spec.name(), clock);
     this.heldSinceMs = clock.monotonicMs();
   }
 
+  private LongFunction<Result<TargetConnection>> opener(TargetPort port) {
+    return timeoutMs -> {
+      Result<TargetConnection> opened = port.open(spec, timeoutMs);
+      if (!opened.isEmpty()) {
+        metrics.connectionOpened();
+      }
+      return opened;
+    };
+  }
+
   TargetSpec spec() {
     return spec;
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/TargetPool.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TargetPool.java
@@ -1,9 +1,7 @@
 package io.lycheejunction.proxy.holder;
 
 import io.lycheejunction.core.clock.RuntimeClock;
-import io.lycheejunction.core.configuration.TargetSpec;
 import io.lycheejunction.core.port.TargetConnection;
-import io.lycheejunction.core.port.TargetPort;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
 import java.util.ArrayDeque;
@@ -11,6 +9,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.LongFunction;
 
 /**
  * The open connections of one target; safe for concurrent use.
@@ -22,21 +21,17 @@
 
   private record Idle(TargetConnection connection, long sinceMs) {}
 
-  private final TargetSpec target;
-  private final TargetPort port;
+  private final LongFunction<Result<TargetConnection>> opener;
   private final RuntimeClock clock;
-  private final HolderMetrics metrics;
   private final Deque<Idle> idle = new ArrayDeque<>();
   private int limit;
   private int open;
   private boolean retired;
 
-  TargetPool(
-      TargetSpec target, TargetPort port, RuntimeClock clock, HolderMetrics metrics, int limit) {
-    this.target = target;
-    this.port = port;
+  /** Creates an empty pool; the opener gets the time to wait, in milliseconds. */
+  TargetPool(LongFunction<Result<TargetConnection>> opener, RuntimeClock clock, int limit) {
+    this.opener = opener;
     this.clock = clock;
-    this.metrics = metrics;
     this.limit = limit;
   }
 
@@ -50,7 +45,7 @@
       return openReserved(timeoutMs);
     }
     return isRetired()
-        ? Result.failure(ResultCode.NOT_HOLDER, "the pool of " + target.name() + " has ended")
+        ? Result.failure(ResultCode.NOT_HOLDER, "the pool has ended")
         : Result.failure(ResultCode.NO_CONNECTION, "all connections are in use");
   }
 
@@ -126,13 +121,11 @@
   private Result<TargetConnection> openReserved(long timeoutMs) {
     boolean opened = false;
     try {
-      Result<TargetConnection> connection = port.open(target, timeoutMs);
+      Result<TargetConnection> connection = opener.apply(timeoutMs);
       opened = !connection.isEmpty();
       return connection;
     } finally {
-      if (opened) {
-        metrics.connectionOpened();
-      } else {
+      if (!opened) {
         unreserve();
       }
     }
