--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/group/GroupReport.java
@@ -0,0 +1,82 @@
+package io.lycheejunction.core.group;
+
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.OptionalLong;
+
+/**
+ * What a proxy can tell operators of a group.
+ *
+ * @param view the view of the group
+ * @param watched true if this proxy watches the group; the instances are known only then
+ * @param majorityConfirmed true if a majority has confirmed the term within the lease
+ * @param instances the instances, in the order of the configuration
+ * @param lastFailover the last promotion that this proxy ordered, if any
+ */
+public record GroupReport(
+    GroupView view,
+    boolean watched,
+    boolean majorityConfirmed,
+    List<Instance> instances,
+    Optional<Promotion> lastFailover) {
+
+  /**
+   * What is known of one instance.
+   *
+   * @param target the name of the instance
+   * @param term the term that it last reported
+   * @param role the role that it last reported
+   * @param received the last log entry that it holds
+   * @param applied the last log entry that its reads see
+   * @param lagEntries the entries of the primary that it has not applied
+   * @param ageMs the proven upper bound of the age of its data, in milliseconds
+   * @param silentMs the time since its last answer, in milliseconds
+   * @param suspected true if it counts as gone
+   */
+  public record Instance(
+      String target,
+      long term,
+      Role role,
+      LogPosition received,
+      LogPosition applied,
+      long lagEntries,
+      OptionalLong ageMs,
+      long silentMs,
+      boolean suspected) {
+    /** Rejects null components. */
+    public Instance {
+      Objects.requireNonNull(target, "target is null");
+      Objects.requireNonNull(role, "role is null");
+      Objects.requireNonNull(received, "received is null");
+      Objects.requireNonNull(applied, "applied is null");
+      Objects.requireNonNull(ageMs, "ageMs is null");
+    }
+  }
+
+  /**
+   * One promotion.
+   *
+   * @param term the term that began
+   * @param primary the name of the new primary
+   * @param reason why it was ordered
+   * @param wallMs the wall-clock time at which it ended, in milliseconds since the epoch
+   * @param durationMs the time from the decision to the promotion, in milliseconds
+   */
+  public record Promotion(long term, String primary, String reason, long wallMs, long durationMs) {
+    /** Rejects null components. */
+    public Promotion {
+      Objects.requireNonNull(primary, "primary is null");
+      Objects.requireNonNull(reason, "reason is null");
+    }
+  }
+
+  /** Rejects null components and copies the list. */
+  public GroupReport {
+    Objects.requireNonNull(view, "view is null");
+    instances = List.copyOf(instances);
+    Objects.requireNonNull(lastFailover, "lastFailover is null");
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/GroupSettings.java
@@ -0,0 +1,59 @@
+package io.lycheejunction.proxy.group;
+
+import io.lycheejunction.core.group.ProbeBudget;
+import java.util.Objects;
+
+/**
+ * The settings of group watching and failover.
+ *
+ * @param ackLeaseMs the duration of the acknowledgement lease, in milliseconds
+ * @param clockMarginMs the time that a claimant waits beyond the lease, in milliseconds
+ * @param probeTimeoutMs the time to wait for a status answer, in milliseconds
+ * @param claimTimeoutMs the time to wait for an answer to a fence or a promotion, in milliseconds
+ * @param budget derives the interval between probes
+ */
+public record GroupSettings(
+    long ackLeaseMs,
+    long clockMarginMs,
+    long probeTimeoutMs,
+    long claimTimeoutMs,
+    ProbeBudget budget) {
+  /** The duration of the acknowledgement lease, in milliseconds. */
+  public static final long ACK_LEASE_MS = 200;
+
+  /** The time that a claimant waits beyond the lease, in milliseconds. */
+  public static final long CLOCK_MARGIN_MS = 20;
+
+  /** The time to wait for a status answer, in milliseconds. */
+  public static final long PROBE_TIMEOUT_MS = 250;
+
+  /** The time to wait for an answer to a fence or a promotion, in milliseconds. */
+  public static final long CLAIM_TIMEOUT_MS = 400;
+
+  /** Rejects a null budget and times that are not positive. */
+  public GroupSettings {
+    Objects.requireNonNull(budget, "budget is null");
+    if (ackLeaseMs < 1 || clockMarginMs < 0 || probeTimeoutMs < 1 || claimTimeoutMs < 1) {
+      throw new IllegalArgumentException("a time is not positive");
+    }
+  }
+
+  /**
+   * Returns the settings with the constants of this class.
+   *
+   * @return the settings
+   */
+  public static GroupSettings standard() {
+    return new GroupSettings(
+        ACK_LEASE_MS, CLOCK_MARGIN_MS, PROBE_TIMEOUT_MS, CLAIM_TIMEOUT_MS, ProbeBudget.standard());
+  }
+
+  /**
+   * Returns the time that a confirming round may take, so that half of the lease remains.
+   *
+   * @return the time, in milliseconds
+   */
+  long roundTimeoutMs() {
+    return Math.max(1, ackLeaseMs / 2);
+  }
+}
