Watch groups, confirm by majority and fail over by terms

Cause: writes may be acknowledged only when a majority holds them, and a failed primary must be replaced without the platform's store. Conclusion: failures of the decisions and of the runtime are covered by tests on the modelled group.

--- /dev/null
+++ b/core/src/test/java/io/lycheejunction/core/failover/FailoverDecisionsTest.java
@@ -0,0 +1,219 @@
+package io.lycheejunction.core.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.configuration.GroupSpec;
+import io.lycheejunction.core.configuration.TargetSpec;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.port.TargetStatus;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FailoverDecisionsTest {
+  private static final GroupSpec SPEC = spec("a", "b", "c");
+
+  private static GroupSpec spec(String... domains) {
+    List<TargetSpec> targets = new java.util.ArrayList<>();
+    for (String domain : domains) {
+      targets.add(new TargetSpec("t" + (targets.size() + 1), domain, "127.0.0.1:1"));
+    }
+    return new GroupSpec("orders", targets, 3, 20, Set.of());
+  }
+
+  private static TargetStatus status(String target, long term, long logTerm, long offset) {
+    LogPosition position = new LogPosition(logTerm, offset);
+    return new TargetStatus(target, term, Role.REPLICA, position, position, false);
+  }
+
+  @Nested
+  class ChoiceOf {
+    @Test
+    void shouldPutTermBeforeOffset() {
+      List<TargetStatus> fenced = List.of(status("t1", 9, 2, 50), status("t2", 9, 3, 10));
+      assertEquals("t2", Choice.of(SPEC, fenced, Optional.empty()).orElseThrow().target());
+    }
+
+    @Test
+    void shouldChooseNobodyBelowAMajority() {
+      assertTrue(Choice.of(SPEC, List.of(status("t1", 9, 2, 50)), Optional.empty()).isEmpty());
+    }
+
+    @Test
+    void shouldPassOverThePreferredWhenItIsBehindAMajority() {
+      List<TargetStatus> fenced = List.of(status("t1", 9, 2, 5), status("t2", 9, 2, 6));
+      assertEquals("t2", Choice.of(SPEC, fenced, Optional.of("t1")).orElseThrow().target());
+    }
+
+    @Test
+    void shouldTakeThePreferredWhenItIncludesAMajority() {
+      List<TargetStatus> fenced =
+          List.of(status("t1", 9, 2, 8), status("t2", 9, 2, 6), status("t3", 9, 2, 6));
+      assertEquals("t2", Choice.of(SPEC, fenced, Optional.of("t2")).orElseThrow().target());
+    }
+  }
+
+  @Nested
+  class PreVoteOutcome {
+    @Test
+    void shouldBeGrantedByTwoOfThreeDomains() {
+      PreVote votes = PreVote.of(SPEC).cast("a", true);
+      assertEquals(PreVote.Outcome.OPEN, votes.outcome());
+      assertEquals(PreVote.Outcome.GRANTED, votes.cast("b", true).outcome());
+    }
+
+    @Test
+    void shouldBeDeniedWhenTwoDomainsSeeThePrimary() {
+      PreVote votes = PreVote.of(SPEC).cast("a", true).cast("b", false).cast("c", false);
+      assertEquals(PreVote.Outcome.DENIED, votes.outcome());
+    }
+
+    @Test
+    void shouldCountADomainOnce() {
+      PreVote votes = PreVote.of(SPEC).cast("a", true).cast("a", true).cast("x", true);
+      assertEquals(PreVote.Outcome.OPEN, votes.outcome());
+    }
+
+    @Test
+    void shouldCountInstancesWhenDomainsAreFewerThanThree() {
+      PreVote votes = PreVote.of(spec("a", "a", "b")).cast("t1", true).cast("t3", true);
+      assertEquals(PreVote.Outcome.GRANTED, votes.outcome());
+    }
+  }
+
+  @Nested
+  class FlapDampingAllows {
+    @Test
+    void shouldNeverDelayTheFirst() {
+      assertTrue(FlapDamping.empty().allows(0));
+    }
+
+    @Test
+    void shouldLengthenThePauseWithEachPromotion() {
+      FlapDamping twice = FlapDamping.empty().promoted(0).promoted(10_000);
+      assertFalse(twice.allows(13_999));
+      assertTrue(twice.allows(14_000));
+    }
+
+    @Test
+    void shouldForgetPromotionsAfterTheWindow() {
+      assertTrue(FlapDamping.empty().promoted(0).allows(FlapDamping.WINDOW_MS));
+    }
+  }
+
+  @Nested
+  class PrimaryLossOf {
+    private final GroupView view =
+        new GroupView("orders", 4, Optional.of("t1"), LogPosition.ORIGIN);
+
+    private PrimaryLoss.Sight sight(Map<String, TargetStatus> statuses, String... refusing) {
+      Function<String, Suspicion> suspicions =
+          target ->
+              List.of(refusing).contains(target)
+                  ? Suspicion.unseen(0).refusedAt(0)
+                  : Suspicion.unseen(0);
+      return PrimaryLoss.of(SPEC, view, statuses, suspicions, 10);
+    }
+
+    @Test
+    void shouldBeGoneWhenThePrimaryRefuses() {
+      assertEquals(PrimaryLoss.Sight.GONE, sight(Map.of(), "t1"));
+      assertEquals(PrimaryLoss.Sight.PRESENT, sight(Map.of(), "t2"));
+    }
+
+    @Test
+    void shouldBeVacantWhenThePrimaryHasResigned() {
+      assertEquals(
+          PrimaryLoss.Sight.VACANT, sight(Map.of("t1", status("t1", 4, 4, 1)), new String[0]));
+    }
+
+    @Test
+    void shouldBeVacantWhenAHigherTermHasNoPrimary() {
+      Map<String, TargetStatus> statuses =
+          Map.of("t2", status("t2", 5, 4, 1), "t3", status("t3", 5, 4, 1));
+      assertEquals(PrimaryLoss.Sight.VACANT, sight(statuses, "t1"));
+      assertEquals(PrimaryLoss.Sight.PRESENT, sight(statuses));
+    }
+  }
+
+  @Nested
+  class ClaimOn {
+    private final Claim start = Claim.start(SPEC, 5, "x", Optional.empty(), 220);
+
+    private Claim fenced(Claim claim, String target, long offset, long nowMs) {
+      return claim.on(new Claim.Event.Fenced(status(target, 5, 4, offset), nowMs));
+    }
+
+    @Test
+    void shouldWaitOutTheLeaseAfterTheMajoritysLastFence() {
+      Claim waiting = fenced(fenced(start, "t1", 7, 100), "t2", 9, 130);
+      assertInstanceOf(Claim.Step.Fencing.class, fenced(start, "t1", 7, 100).step());
+      assertEquals(new Claim.Step.WaitingOutLease(350), waiting.step());
+      assertEquals(waiting, waiting.on(new Claim.Event.Elapsed(349)));
+      assertEquals(new Claim.Step.Promoting("t2"), waiting.on(new Claim.Event.Elapsed(350)).step());
+    }
+
+    @Test
+    void shouldChooseALateFenceThatIsAhead() {
+      Claim waiting = fenced(fenced(start, "t1", 7, 100), "t2", 9, 130);
+      Claim late = fenced(waiting, "t3", 11, 200);
+      assertEquals(new Claim.Step.Promoting("t3"), late.on(new Claim.Event.Elapsed(350)).step());
+    }
+
+    @Test
+    void shouldBeLostWhenAMajorityRefuses() {
+      Claim one = start.on(new Claim.Event.NotFenced("t1", "taken"));
+      assertInstanceOf(Claim.Step.Fencing.class, one.step());
+      assertInstanceOf(
+          Claim.Step.Lost.class, one.on(new Claim.Event.NotFenced("t2", "taken")).step());
+    }
+
+    @Test
+    void shouldIgnoreAFenceOfAnotherTerm() {
+      Claim claim = start.on(new Claim.Event.Fenced(status("t1", 6, 4, 1), 100));
+      assertEquals(start, claim);
+    }
+
+    @Test
+    void shouldNotPromoteASecondInstanceWhenTheAnswerIsLost() {
+      Claim promoting =
+          fenced(fenced(start, "t1", 7, 0), "t2", 9, 0).on(new Claim.Event.Elapsed(220));
+      Claim lost = promoting.on(new Claim.Event.NotPromoted("no answer"));
+      assertInstanceOf(Claim.Step.Lost.class, lost.step());
+      assertEquals(lost, lost.on(new Claim.Event.Elapsed(1_000)));
+      assertEquals(lost, lost.on(new Claim.Event.Promoted(status("t2", 5, 5, 10))));
+    }
+  }
+
+  /** Two claimants race for the same term; each instance accepts only one of them. */
+  @Property(seed = "20261204", tries = 500)
+  void shouldLetAtMostOneClaimantWinATerm(
+      @ForAll @Size(3) List<@IntRange(min = 0, max = 3) Integer> outcomes) {
+    Claim x = Claim.start(SPEC, 5, "x", Optional.empty(), 220);
+    Claim y = Claim.start(SPEC, 5, "y", Optional.empty(), 220);
+    for (int i = 0; i < outcomes.size(); i++) {
+      String target = "t" + (i + 1);
+      Claim.Event yes = new Claim.Event.Fenced(status(target, 5, 4, i), 0);
+      Claim.Event no = new Claim.Event.NotFenced(target, "taken or lost");
+      x = x.on(outcomes.get(i) == 0 ? yes : no);
+      y = y.on(outcomes.get(i) == 1 ? yes : no);
+    }
+    x = x.on(new Claim.Event.Elapsed(220));
+    y = y.on(new Claim.Event.Elapsed(220));
+    assertFalse(
+        x.step() instanceof Claim.Step.Promoting && y.step() instanceof Claim.Step.Promoting);
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/FailoverTest.java
@@ -0,0 +1,177 @@
+package io.lycheejunction.proxy.group;
+
+import static io.lycheejunction.proxy.group.GroupFixture.GROUP;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.group.GroupReport;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FailoverTest {
+  private final GroupFixture fixture = new GroupFixture();
+
+  private long primaries(long term) {
+    return fixture.targets.stream()
+        .map(t -> fixture.model.status(t.name()))
+        .filter(s -> s.role() == Role.PRIMARY && s.term() == term)
+        .count();
+  }
+
+  private GroupView view(String domain) {
+    return fixture.watch(domain).view(GROUP);
+  }
+
+  @Nested
+  class Tick {
+    @Test
+    void shouldPromoteOnceWhenThePrimaryCrashes() {
+      fixture.run(500);
+      fixture.model.faults().crash("t-a");
+      fixture.run(1_500);
+      assertEquals(2, view("b").term());
+      assertEquals(view("b").primary(), view("c").primary());
+      assertEquals(view("b").primary(), fixture.model.primary());
+    }
+
+    @Test
+    void shouldPromoteNobodyWhenThePrimaryAnswers() {
+      fixture.run(60_000);
+      assertEquals(1, view("b").term());
+      assertEquals(1, fixture.model.status("t-b").term());
+    }
+
+    @Test
+    void shouldPromoteTheReplicaThatIsAhead() {
+      fixture.run(500);
+      fixture.model.faults().replicaLag("t-b", 5_000);
+      fixture.write("a", "t-a", 1);
+      fixture.run(100);
+      fixture.model.faults().crash("t-a");
+      fixture.run(2_000);
+      assertEquals(Optional.of("t-c"), fixture.model.primary());
+    }
+
+    @Test
+    void shouldKeepAcknowledgedWritesWhenThePrimaryIsCutOff() {
+      fixture.run(500);
+      LogPosition kept = fixture.write("a", "t-a", 1).orElseThrow();
+      assertFalse(fixture.watch("a").confirmReceived(GROUP, kept, 500).isEmpty());
+      fixture.links.isolate("a", List.of("b", "c"));
+      fixture.write("a", "t-a", 1);
+      fixture.run(2_500);
+      fixture.links.healAll();
+      fixture.run(1_000);
+      assertEquals(Role.REPLICA, fixture.model.status("t-a").role());
+      assertEquals(fixture.model.log("t-b"), fixture.model.log("t-a"));
+      assertTrue(fixture.model.log("t-a").stream().anyMatch(e -> e.position().equals(kept)));
+      assertEquals(view("b").primary(), view("a").primary());
+    }
+
+    @Test
+    void shouldPromoteNobodyWhenTheMajorityIsLost() {
+      fixture.run(500);
+      fixture.model.faults().crash("t-a");
+      fixture.model.faults().crash("t-b");
+      fixture.run(5_000);
+      assertEquals(Optional.empty(), fixture.model.primary());
+      assertTrue(fixture.watch("c").confirmTerm(GROUP, 1, 100).isEmpty());
+    }
+
+    @Test
+    void shouldPromoteNobodyWhenOnlyOneFailureDomainMissesThePrimary() {
+      fixture.run(500);
+      fixture.links.cut("a", "b");
+      fixture.run(10_000);
+      assertEquals(1, fixture.model.status("t-c").term());
+    }
+
+    @Test
+    void shouldClaimAgainWhenAClaimantDiedAfterItsFences() {
+      fixture.run(500);
+      fixture.model.fence("t-a", 2, "dead");
+      fixture.model.fence("t-b", 2, "dead");
+      fixture.model.fence("t-c", 2, "dead");
+      fixture.run(3_000);
+      assertEquals(3, view("a").term());
+      assertEquals(1, primaries(3));
+    }
+
+    @Test
+    void shouldClaimAgainWhenAClaimantDiedAfterOneFence() {
+      fixture.run(500);
+      fixture.model.faults().crash("t-a");
+      fixture.model.fence("t-b", 7, "dead");
+      fixture.run(3_000);
+      assertEquals(8, view("c").term());
+      assertEquals(1, primaries(8));
+    }
+
+    @Test
+    void shouldPromoteWhenTheProxyOfThePrimaryDiesWithIt() {
+      fixture.run(500);
+      fixture.model.faults().crash("t-a");
+      fixture.deadProxies.add("a");
+      fixture.run(2_000);
+      assertEquals(2, view("b").term());
+      assertEquals(view("b").primary(), view("c").primary());
+    }
+
+    @Test
+    void shouldHandOverWhenThePrimaryIsDrained() {
+      fixture.run(500);
+      fixture.drained.add("t-a");
+      fixture.run(2_000);
+      assertEquals(2, view("a").term());
+      assertFalse(fixture.model.primary().equals(Optional.of("t-a")));
+    }
+  }
+
+  @Nested
+  class Promote {
+    @Test
+    void shouldPromoteTheNamedReplicaWithoutLosingAWrite() {
+      fixture.run(500);
+      LogPosition position = fixture.write("a", "t-a", 1).orElseThrow();
+      assertFalse(fixture.proxies.get("b").promote(GROUP, "t-c").isEmpty());
+      assertEquals(Optional.of("t-c"), fixture.model.primary());
+      assertTrue(fixture.model.log("t-c").stream().anyMatch(e -> e.position().equals(position)));
+    }
+
+    @Test
+    void shouldRefuseWhenTheReplicaIsFarBehind() {
+      fixture.run(500);
+      fixture.model.faults().replicaLag("t-c", 60_000);
+      fixture.write("a", "t-a", 1);
+      assertTrue(fixture.proxies.get("a").promote(GROUP, "t-c").isEmpty());
+      assertEquals(Optional.of("t-a"), fixture.model.primary());
+      assertFalse(fixture.watch("a").confirmTerm(GROUP, 1, 500).isEmpty());
+    }
+
+    @Test
+    void shouldRefuseWhenTheTargetIsUnknown() {
+      assertTrue(fixture.proxies.get("a").promote(GROUP, "t-x").isEmpty());
+    }
+  }
+
+  @Nested
+  class ReportsOfGroups {
+    @Test
+    void shouldNameLagAgeAndLastFailover() {
+      fixture.run(500);
+      fixture.model.faults().crash("t-a");
+      fixture.run(1_500);
+      GroupReport report = fixture.proxies.get("b").reports().getFirst();
+      assertTrue(report.watched());
+      assertEquals(3, report.instances().size());
+      GroupReport other = fixture.proxies.get("c").reports().getFirst();
+      assertTrue(report.lastFailover().or(other::lastFailover).isPresent());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/GroupWatchersTest.java
@@ -0,0 +1,186 @@
+package io.lycheejunction.proxy.group;
+
+import static io.lycheejunction.proxy.group.GroupFixture.GROUP;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class GroupWatchersTest {
+  private final GroupFixture fixture = new GroupFixture();
+
+  private static ResultCode code(Result<?> result) {
+    return result.fold(Fault::code, value -> ResultCode.DONE);
+  }
+
+  private void cutOffPrimary() {
+    fixture.links.isolate("a", List.of("b", "c"));
+  }
+
+  @Nested
+  class View {
+    @Test
+    void shouldNameThePrimaryWhenARoundHasRun() {
+      fixture.run(50);
+      GroupView view = fixture.watch("b").view(GROUP);
+      assertEquals(1, view.term());
+      assertEquals(Optional.of("t-a"), view.primary());
+    }
+  }
+
+  @Nested
+  class ConfirmTerm {
+    @Test
+    void shouldConfirmWhenAMajorityAnswers() {
+      fixture.run(50);
+      fixture.clock.advanceMs(1_000);
+      assertEquals(ResultCode.DONE, code(fixture.watch("a").confirmTerm(GROUP, 1, 500)));
+    }
+
+    @Test
+    void shouldRefuseWhenThePrimaryIsCutOffAndStillBelieves() {
+      fixture.run(50);
+      cutOffPrimary();
+      fixture.clock.advanceMs(GroupSettings.ACK_LEASE_MS);
+      assertEquals(ResultCode.MAJORITY_LOST, code(fixture.watch("a").confirmTerm(GROUP, 1, 500)));
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhenTheLastRoundFoundNoMajority() {
+      fixture.run(50);
+      cutOffPrimary();
+      fixture.clock.advanceMs(GroupSettings.ACK_LEASE_MS);
+      fixture.watch("a").confirmTerm(GROUP, 1, 500);
+      long beforeMs = fixture.clock.monotonicMs();
+      assertEquals(ResultCode.MAJORITY_LOST, code(fixture.watch("a").confirmTerm(GROUP, 1, 500)));
+      assertEquals(beforeMs, fixture.clock.monotonicMs());
+    }
+
+    @Test
+    void shouldRefuseWhenAMajorityHasAHigherTerm() {
+      fixture.run(50);
+      fixture.model.fence("t-b", 2, "other");
+      fixture.model.fence("t-c", 2, "other");
+      fixture.clock.advanceMs(GroupSettings.ACK_LEASE_MS);
+      assertEquals(ResultCode.NOT_PRIMARY, code(fixture.watch("a").confirmTerm(GROUP, 1, 500)));
+    }
+  }
+
+  @Nested
+  class ConfirmReceived {
+    @Test
+    void shouldConfirmOnceAReplicaHasReceivedThePosition() {
+      fixture.run(50);
+      LogPosition position = fixture.write("a", "t-a", 1).orElseThrow();
+      Result<GroupView> result = fixture.watch("a").confirmReceived(GROUP, position, 500);
+      assertEquals(ResultCode.DONE, code(result));
+      assertTrue(fixture.model.status("t-b").received().isAtLeast(position));
+    }
+
+    @Test
+    void shouldBeUnknownWhenBothReplicasLag() {
+      fixture.run(50);
+      fixture.model.faults().replicaLag("t-b", 10_000);
+      fixture.model.faults().replicaLag("t-c", 10_000);
+      LogPosition position = fixture.write("a", "t-a", 1).orElseThrow();
+      assertEquals(
+          ResultCode.UNKNOWN_OUTCOME,
+          code(fixture.watch("a").confirmReceived(GROUP, position, 500)));
+    }
+
+    @Test
+    void shouldBeUnknownWhenThePrimaryWasReplacedAfterTheWrite() {
+      fixture.run(50);
+      cutOffPrimary();
+      LogPosition position = fixture.write("a", "t-a", 1).orElseThrow();
+      fixture.run(2_500);
+      fixture.links.healAll();
+      assertEquals(
+          ResultCode.UNKNOWN_OUTCOME,
+          code(fixture.watch("a").confirmReceived(GROUP, position, 500)));
+    }
+  }
+
+  @Nested
+  class MayAcknowledge {
+    @Test
+    void shouldEndWithTheLease() {
+      fixture.run(50);
+      assertEquals(ResultCode.DONE, code(fixture.watch("a").confirmTerm(GROUP, 1, 500)));
+      fixture.clock.advanceMs(GroupSettings.ACK_LEASE_MS - 60);
+      assertTrue(fixture.watch("a").mayAcknowledge(GROUP, 1));
+      fixture.clock.advanceMs(60);
+      assertFalse(fixture.watch("a").mayAcknowledge(GROUP, 1));
+    }
+
+    @Test
+    void shouldRefuseWhenAHigherTermIsLearned() {
+      fixture.run(50);
+      fixture.watch("a").learn(new GroupView(GROUP, 2, Optional.of("t-b"), new LogPosition(2, 2)));
+      assertFalse(fixture.watch("a").mayAcknowledge(GROUP, 1));
+    }
+  }
+
+  @Nested
+  class AgeMs {
+    @Test
+    void shouldGrowWhenTheFailureDomainIsCutOff() {
+      fixture.run(300);
+      LogPosition applied = fixture.watch("b").applied(GROUP, "t-b");
+      fixture.links.isolate("b", List.of("a", "c"));
+      final long beforeMs = fixture.clock.monotonicMs();
+      fixture.run(5_000);
+      long passedMs = fixture.clock.monotonicMs() - beforeMs;
+      assertTrue(fixture.watch("b").ageMs(GROUP, applied).orElseThrow() >= passedMs);
+    }
+
+    @Test
+    void shouldStaySmallWhenTheMajorityAnswers() {
+      fixture.run(5_000);
+      LogPosition applied = fixture.watch("b").applied(GROUP, "t-b");
+      assertTrue(fixture.watch("b").ageMs(GROUP, applied).orElseThrow() < 500);
+    }
+
+    @Test
+    void shouldProveNothingWhenThePositionIsOnADivergentSuffix() {
+      fixture.run(300);
+      cutOffPrimary();
+      LogPosition divergent = fixture.write("a", "t-a", 1).orElseThrow();
+      fixture.run(2_500);
+      fixture.links.healAll();
+      fixture.run(500);
+      assertEquals(OptionalLong.empty(), fixture.watch("a").ageMs(GROUP, divergent));
+    }
+  }
+
+  @Nested
+  class AwaitHigherTerm {
+    @Test
+    void shouldAskAWatcherWhenThePublicationWasMissed() {
+      fixture.run(50);
+      fixture.deadProxies.add("c");
+      fixture.model.faults().crash("t-a");
+      fixture.run(2_000);
+      fixture.deadProxies.clear();
+      assertEquals(2, fixture.watch("c").awaitHigherTerm(GROUP, 1, 1_000).term());
+    }
+
+    @Test
+    void shouldReturnTheLatestViewWhenTheTimeoutPasses() {
+      fixture.run(50);
+      long beforeMs = fixture.clock.monotonicMs();
+      assertEquals(1, fixture.watch("a").awaitHigherTerm(GROUP, 1, 200).term());
+      assertTrue(fixture.clock.monotonicMs() - beforeMs >= 200);
+    }
+  }
+}
