--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/wire/FaultMessage.java
@@ -0,0 +1,143 @@
+package io.lycheejunction.common.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** A fault for the stand-ins, sent by POST to {@link #PATH} followed by its name. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "op")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = FaultMessage.Cut.class, name = "cut"),
+  @JsonSubTypes.Type(value = FaultMessage.Heal.class, name = "heal"),
+  @JsonSubTypes.Type(value = FaultMessage.CutPlatform.class, name = "cut-platform"),
+  @JsonSubTypes.Type(value = FaultMessage.HealPlatform.class, name = "heal-platform"),
+  @JsonSubTypes.Type(value = FaultMessage.HealAll.class, name = "heal-all"),
+  @JsonSubTypes.Type(value = FaultMessage.Pause.class, name = "pause"),
+  @JsonSubTypes.Type(value = FaultMessage.Resume.class, name = "resume"),
+  @JsonSubTypes.Type(value = FaultMessage.Crash.class, name = "crash"),
+  @JsonSubTypes.Type(value = FaultMessage.Restart.class, name = "restart"),
+  @JsonSubTypes.Type(value = FaultMessage.Lag.class, name = "lag"),
+  @JsonSubTypes.Type(value = FaultMessage.ApplyLag.class, name = "apply-lag"),
+  @JsonSubTypes.Type(value = FaultMessage.TargetLeaving.class, name = "target-leaving"),
+  @JsonSubTypes.Type(value = FaultMessage.VmLeaving.class, name = "vm-leaving"),
+  @JsonSubTypes.Type(value = FaultMessage.TableDown.class, name = "table-down"),
+  @JsonSubTypes.Type(value = FaultMessage.TableSlow.class, name = "table-slow"),
+  @JsonSubTypes.Type(value = FaultMessage.LoseReplies.class, name = "table-lose-replies"),
+})
+public sealed interface FaultMessage {
+  /** The path before the name of the fault. */
+  String PATH = "/faults/";
+
+  /**
+   * Cuts the link between two failure domains.
+   *
+   * @param a one failure domain
+   * @param b the other
+   */
+  record Cut(String a, String b) implements FaultMessage {}
+
+  /**
+   * Heals the link between two failure domains.
+   *
+   * @param a one failure domain
+   * @param b the other
+   */
+  record Heal(String a, String b) implements FaultMessage {}
+
+  /**
+   * Cuts a failure domain from the platform.
+   *
+   * @param domain the failure domain
+   */
+  record CutPlatform(String domain) implements FaultMessage {}
+
+  /**
+   * Heals the link between a failure domain and the platform.
+   *
+   * @param domain the failure domain
+   */
+  record HealPlatform(String domain) implements FaultMessage {}
+
+  /** Heals every link. */
+  record HealAll() implements FaultMessage {}
+
+  /**
+   * Pauses an instance.
+   *
+   * @param target the instance
+   */
+  record Pause(String target) implements FaultMessage {}
+
+  /**
+   * Resumes a paused instance.
+   *
+   * @param target the instance
+   */
+  record Resume(String target) implements FaultMessage {}
+
+  /**
+   * Ends an instance; its address refuses connections.
+   *
+   * @param target the instance
+   */
+  record Crash(String target) implements FaultMessage {}
+
+  /**
+   * Starts a crashed instance again.
+   *
+   * @param target the instance
+   */
+  record Restart(String target) implements FaultMessage {}
+
+  /**
+   * Sets the time that an entry takes to an instance.
+   *
+   * @param target the instance
+   * @param lagMs the time, in milliseconds
+   */
+  record Lag(String target, long lagMs) implements FaultMessage {}
+
+  /**
+   * Sets the time from receiving an entry to applying it.
+   *
+   * @param target the instance
+   * @param lagMs the time, in milliseconds
+   */
+  record ApplyLag(String target, long lagMs) implements FaultMessage {}
+
+  /**
+   * Sets whether an instance announces that it is leaving.
+   *
+   * @param target the instance
+   * @param leaving true if it is leaving
+   */
+  record TargetLeaving(String target, boolean leaving) implements FaultMessage {}
+
+  /**
+   * Sets whether the list marks a VM as leaving.
+   *
+   * @param name the name of the VM
+   * @param leaving true if it is leaving
+   */
+  record VmLeaving(String name, boolean leaving) implements FaultMessage {}
+
+  /**
+   * Sets whether the table and the object store refuse everything.
+   *
+   * @param down true if they do
+   */
+  record TableDown(boolean down) implements FaultMessage {}
+
+  /**
+   * Sets the additional time of each call to the table and the object store.
+   *
+   * @param slowMs the time, in milliseconds
+   */
+  record TableSlow(long slowMs) implements FaultMessage {}
+
+  /**
+   * Loses the replies to the next writes after their effect.
+   *
+   * @param count the number of writes
+   */
+  record LoseReplies(int count) implements FaultMessage {}
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/platform/HttpObjectStore.java
@@ -0,0 +1,48 @@
+package io.lycheejunction.proxy.platform;
+
+import io.lycheejunction.common.wire.PlatformAnswer;
+import io.lycheejunction.common.wire.PlatformMessage;
+import io.lycheejunction.core.port.ObjectStore;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Reaches the platform's object store by HTTP with JSON. */
+public final class HttpObjectStore implements ObjectStore {
+  private final PlatformCalls calls;
+
+  /**
+   * Creates the object store's adapter.
+   *
+   * @param calls sends the messages
+   */
+  public HttpObjectStore(PlatformCalls calls) {
+    this.calls = Objects.requireNonNull(calls, "calls is null");
+  }
+
+  @Override
+  public Result<Optional<String>> get(String name) {
+    PlatformMessage message = new PlatformMessage.GetObject(name);
+    return calls
+        .call(message, PlatformAnswer.Content.class, ResultCode.STORE_UNAVAILABLE)
+        .map(PlatformAnswer.Content::content);
+  }
+
+  @Override
+  public Result<String> put(String name, String content) {
+    PlatformMessage message = new PlatformMessage.PutObject(name, content);
+    return calls
+        .call(message, PlatformAnswer.Names.class, ResultCode.STORE_UNKNOWN)
+        .map(names -> name);
+  }
+
+  @Override
+  public Result<List<String>> list(String prefix) {
+    PlatformMessage message = new PlatformMessage.ListObjects(prefix);
+    return calls
+        .call(message, PlatformAnswer.Names.class, ResultCode.STORE_UNAVAILABLE)
+        .map(PlatformAnswer.Names::names);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/platform/HttpVmDirectory.java
@@ -0,0 +1,31 @@
+package io.lycheejunction.proxy.platform;
+
+import io.lycheejunction.common.wire.PlatformAnswer;
+import io.lycheejunction.common.wire.PlatformMessage;
+import io.lycheejunction.core.port.Vm;
+import io.lycheejunction.core.port.VmDirectory;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import java.util.List;
+import java.util.Objects;
+
+/** Reaches the platform's list of VMs by HTTP with JSON. */
+public final class HttpVmDirectory implements VmDirectory {
+  private final PlatformCalls calls;
+
+  /**
+   * Creates the list's adapter.
+   *
+   * @param calls sends the messages
+   */
+  public HttpVmDirectory(PlatformCalls calls) {
+    this.calls = Objects.requireNonNull(calls, "calls is null");
+  }
+
+  @Override
+  public Result<List<Vm>> list() {
+    return calls
+        .call(new PlatformMessage.ListVms(), PlatformAnswer.Vms.class, ResultCode.STORE_UNAVAILABLE)
+        .map(PlatformAnswer.Vms::vms);
+  }
+}
--- a/standin/src/main/java/io/lycheejunction/standin/StandinMain.java
+++ b/standin/src/main/java/io/lycheejunction/standin/StandinMain.java
@@ -1,13 +1,28 @@
 package io.lycheejunction.standin;
 
+import io.lycheejunction.common.clock.SystemRuntimeClock;
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.common.settings.Program;
 import io.lycheejunction.common.settings.Settings;
+import java.io.UncheckedIOException;
+import java.net.UnknownHostException;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 
 /** Starts {@code lycheejunction-standin}. */
 public final class StandinMain {
   private static final Program PROGRAM =
-      new Program("lycheejunction-standin", "[flags]", List.of());
+      new Program("lycheejunction-standin", "[flags]\n" + Help.text(), StandinSettings.ALL);
+  private static final EventLog LOG = EventLog.of(StandinMain.class);
+
+  /**
+   * What the program prints once it serves.
+   *
+   * @param platform the platform's address
+   * @param groups the groups
+   */
+  private record Started(String platform, List<Groups.Listing> groups) {}
 
   private StandinMain() {}
 
@@ -21,6 +36,17 @@
   }
 
   private static int run(Settings settings) {
-    return 0;
+    try (Standin standin = new Standin(StandinSettings.of(settings), new SystemRuntimeClock())) {
+      System.out.println(Json.write(new Started(standin.address(), standin.list())));
+      LOG.info("standin_started", "platform", standin.address());
+      new CountDownLatch(1).await();
+      return 0;
+    } catch (UnknownHostException | UncheckedIOException e) {
+      System.err.println("lycheejunction-standin: " + e.getMessage());
+      return Program.EXIT_BAD_SETTINGS;
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return 0;
+    }
   }
 }
