--- a/core/src/test/java/io/lycheejunction/core/failover/FailoverDecisionsTest.java
+++ b/core/src/test/java/io/lycheejunction/core/failover/FailoverDecisionsTest.java
@@ -48,18 +48,18 @@
     }
 
     @Test
-    void shouldChooseNobodyBelowAMajority() {
+    void shouldChooseNobodyBelowMajority() {
       assertTrue(Choice.of(SPEC, List.of(status("t1", 9, 2, 50)), Optional.empty()).isEmpty());
     }
 
     @Test
-    void shouldPassOverThePreferredWhenItIsBehindAMajority() {
+    void shouldPassOverThePreferredWhenItIsBehindMajority() {
       List<TargetStatus> fenced = List.of(status("t1", 9, 2, 5), status("t2", 9, 2, 6));
       assertEquals("t2", Choice.of(SPEC, fenced, Optional.of("t1")).orElseThrow().target());
     }
 
     @Test
-    void shouldTakeThePreferredWhenItIncludesAMajority() {
+    void shouldTakeThePreferredWhenItIncludesMajority() {
       List<TargetStatus> fenced =
           List.of(status("t1", 9, 2, 8), status("t2", 9, 2, 6), status("t3", 9, 2, 6));
       assertEquals("t2", Choice.of(SPEC, fenced, Optional.of("t2")).orElseThrow().target());
@@ -82,7 +82,7 @@
     }
 
     @Test
-    void shouldCountADomainOnce() {
+    void shouldCountDomainOnce() {
       PreVote votes = PreVote.of(SPEC).cast("a", true).cast("a", true).cast("x", true);
       assertEquals(PreVote.Outcome.OPEN, votes.outcome());
     }
@@ -141,7 +141,7 @@
     }
 
     @Test
-    void shouldBeVacantWhenAHigherTermHasNoPrimary() {
+    void shouldBeVacantWhenHigherTermHasNoPrimary() {
       Map<String, TargetStatus> statuses =
           Map.of("t2", status("t2", 5, 4, 1), "t3", status("t3", 5, 4, 1));
       assertEquals(PrimaryLoss.Sight.VACANT, sight(statuses, "t1"));
@@ -167,14 +167,14 @@
     }
 
     @Test
-    void shouldChooseALateFenceThatIsAhead() {
+    void shouldChooseLateFenceThatIsAhead() {
       Claim waiting = fenced(fenced(start, "t1", 7, 100), "t2", 9, 130);
       Claim late = fenced(waiting, "t3", 11, 200);
       assertEquals(new Claim.Step.Promoting("t3"), late.on(new Claim.Event.Elapsed(350)).step());
     }
 
     @Test
-    void shouldBeLostWhenAMajorityRefuses() {
+    void shouldBeLostWhenMajorityRefuses() {
       Claim one = start.on(new Claim.Event.NotFenced("t1", "taken"));
       assertInstanceOf(Claim.Step.Fencing.class, one.step());
       assertInstanceOf(
@@ -182,13 +182,13 @@
     }
 
     @Test
-    void shouldIgnoreAFenceOfAnotherTerm() {
+    void shouldIgnoreFenceOfAnotherTerm() {
       Claim claim = start.on(new Claim.Event.Fenced(status("t1", 6, 4, 1), 100));
       assertEquals(start, claim);
     }
 
     @Test
-    void shouldNotPromoteASecondInstanceWhenTheAnswerIsLost() {
+    void shouldNotPromoteSecondInstanceWhenTheAnswerIsLost() {
       Claim promoting =
           fenced(fenced(start, "t1", 7, 0), "t2", 9, 0).on(new Claim.Event.Elapsed(220));
       Claim lost = promoting.on(new Claim.Event.NotPromoted("no answer"));
@@ -200,7 +200,7 @@
 
   /** Two claimants race for the same term; each instance accepts only one of them. */
   @Property(seed = "20261204", tries = 500)
-  void shouldLetAtMostOneClaimantWinATerm(
+  void shouldLetAtMostOneClaimantWinTerm(
       @ForAll @Size(3) List<@IntRange(min = 0, max = 3) Integer> outcomes) {
     Claim x = Claim.start(SPEC, 5, "x", Optional.empty(), 220);
     Claim y = Claim.start(SPEC, 5, "y", Optional.empty(), 220);
--- a/core/src/test/java/io/lycheejunction/core/failover/SuspicionTest.java
+++ b/core/src/test/java/io/lycheejunction/core/failover/SuspicionTest.java
@@ -22,22 +22,22 @@
   @Nested
   class IsGone {
     @Test
-    void shouldCountARefusedConnectionAtOnce() {
+    void shouldCountRefusedConnectionAtOnce() {
       assertTrue(steady(2_000).refusedAt(2_001).isGone(2_001));
     }
 
     @Test
-    void shouldForgetARefusalWhenAnAnswerComes() {
+    void shouldForgetRefusalWhenAnAnswerComes() {
       assertFalse(steady(2_000).refusedAt(2_001).answered(2_002).isGone(2_002));
     }
 
     @Test
-    void shouldDropARefusalThatIsOlderThanTheLastAnswer() {
+    void shouldDropRefusalThatIsOlderThanTheLastAnswer() {
       assertFalse(steady(2_000).refusedAt(1_990).isGone(2_000));
     }
 
     @Test
-    void shouldCountSilenceOnlyAfterARequestHasWaited() {
+    void shouldCountSilenceOnlyAfterRequestHasWaited() {
       Suspicion suspicion = steady(2_000);
       assertFalse(suspicion.isGone(60_000));
       assertFalse(suspicion.asked(60_000).isGone(60_000 + Suspicion.MIN_WAIT_MS - 1));
@@ -104,7 +104,7 @@
     }
 
     @Test
-    void shouldFindAPrimaryGoneSoonAfterItsLastAnswer() {
+    void shouldFindPrimaryGoneSoonAfterItsLastAnswer() {
       for (long seed = 1; seed <= 200; seed++) {
         Watcher watcher = new Watcher(seed);
         long crashMs = 30_000 + seed * 7;
--- a/core/src/test/java/io/lycheejunction/core/group/ProofsTest.java
+++ b/core/src/test/java/io/lycheejunction/core/group/ProofsTest.java
@@ -43,7 +43,7 @@
   @Nested
   class Tally {
     @Test
-    void shouldNotConfirmAPrimaryWhoseTermNoMajorityReports() {
+    void shouldNotConfirmPrimaryWhoseTermNoMajorityReports() {
       MajorityTally tally =
           MajorityTally.of(
               SPEC,
@@ -56,7 +56,7 @@
     }
 
     @Test
-    void shouldNotCountAPositionThatAFencedReplicaHolds() {
+    void shouldNotCountPositionThatFencedReplicaHolds() {
       MajorityTally tally =
           MajorityTally.of(
               SPEC,
@@ -67,7 +67,7 @@
     }
 
     @Test
-    void shouldNotCallAPositionOfALowerTermReceived() {
+    void shouldNotCallPositionOfLowerTermReceived() {
       MajorityTally tally =
           MajorityTally.of(
               SPEC,
@@ -99,7 +99,7 @@
     }
 
     @Test
-    void shouldKeepTheHigherTermWhenALateRoundEnds() {
+    void shouldKeepTheHigherTermWhenLateRoundEnds() {
       AckLease lease = new AckLease(3, 100).max(new AckLease(2, 500));
       assertEquals(new AckLease(3, 100), lease);
     }
@@ -117,7 +117,7 @@
     }
 
     @Test
-    void shouldProveNothingBeyondWhatAMajorityHadOfAReplacedTerm() {
+    void shouldProveNothingBeyondWhatMajorityHadOfReplacedTerm() {
       Evidence evidence =
           Evidence.empty().with(100, at(1, 8), at(1, 6)).with(200, at(2, 7), at(2, 7));
       assertEquals(OptionalLong.empty(), evidence.ageMs(at(1, 8), 250));
@@ -155,7 +155,7 @@
   }
 
   @Property(seed = "20261204", tries = 300)
-  void shouldNeverLowerTheTermOfAView(
+  void shouldNeverLowerTheTermOfView(
       @ForAll @Size(min = 1, max = 8) List<@IntRange(min = 0, max = 9) Integer> terms) {
     GroupView view = GroupView.unknown("orders");
     for (int term : terms) {
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/ClaimRun.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/ClaimRun.java
@@ -38,7 +38,7 @@
    */
   Claim run(Claim start) {
     AtomicReference<Claim> claim = new AtomicReference<>(start);
-    fence(claim);
+    fenceAll(claim);
     while (true) {
       switch (claim.get().step()) {
         case Claim.Step.Fencing() -> {
@@ -56,7 +56,7 @@
     }
   }
 
-  private void fence(AtomicReference<Claim> claim) {
+  private void fenceAll(AtomicReference<Claim> claim) {
     List<Runnable> tasks = new ArrayList<>();
     for (TargetSpec target : order(claim.get())) {
       tasks.add(() -> fence(claim, target));
@@ -103,11 +103,11 @@
     String reason = "the instance answered for another term";
     for (int i = 0; i < MAX_PROMOTE_TRIES; i++) {
       switch (targets.promote(spec, asked.term(), asked.claimant(), timeoutMs)) {
-        case Result.Success<TargetStatus>(TargetStatus status) -> {
+        case Result.Success(TargetStatus status) -> {
           claim.updateAndGet(c -> c.on(new Claim.Event.Promoted(status)));
           i = MAX_PROMOTE_TRIES;
         }
-        case Result.Failure<TargetStatus>(Fault fault) -> {
+        case Result.Failure(Fault fault) -> {
           reason = fault.detail();
           if (fault.code() == ResultCode.TERM_TAKEN) {
             i = MAX_PROMOTE_TRIES;
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/Failover.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/Failover.java
@@ -161,7 +161,7 @@
       GroupSpec spec, GroupState state, TargetStatus primary, String reason, long startMs) {
     long nowMs = clock.monotonicMs();
     state.answered(primary, nowMs);
-    GroupView view =
+    final GroupView view =
         state.learn(
             new GroupView(
                 spec.name(), primary.term(), Optional.of(primary.target()), state.received()));
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/HandOver.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/HandOver.java
@@ -148,7 +148,7 @@
       return Result.success(before);
     }
     Result<FreezeCall> frozen = freezeAtHolder(spec, before, FREEZE_MS);
-    if (frozen instanceof Result.Failure<FreezeCall>(var fault)) {
+    if (frozen instanceof Result.Failure(var fault)) {
       return Result.failure(fault);
     }
     if (!catchUp(spec, state, target)) {
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/Rounds.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/Rounds.java
@@ -68,11 +68,11 @@
             ? targets.awaitReceived(target, awaited.get(), timeoutMs)
             : targets.status(target, timeoutMs);
     switch (answer) {
-      case Result.Success<TargetStatus>(TargetStatus status) -> {
+      case Result.Success(TargetStatus status) -> {
         peers.targetSays(status.target(), status.leaving());
         round.answered(status, clock.monotonicMs());
       }
-      case Result.Failure<TargetStatus>(Fault fault) -> {
+      case Result.Failure(Fault fault) -> {
         if (isRefused(fault)) {
           round.state.refused(target.name(), sentMs);
         }
--- a/proxy/src/test/java/io/lycheejunction/proxy/group/FailoverTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/FailoverTest.java
@@ -93,7 +93,7 @@
     }
 
     @Test
-    void shouldClaimAgainWhenAClaimantDiedAfterItsFences() {
+    void shouldClaimAgainWhenClaimantDiedAfterItsFences() {
       fixture.run(500);
       fixture.model.fence("t-a", 2, "dead");
       fixture.model.fence("t-b", 2, "dead");
@@ -104,7 +104,7 @@
     }
 
     @Test
-    void shouldClaimAgainWhenAClaimantDiedAfterOneFence() {
+    void shouldClaimAgainWhenClaimantDiedAfterOneFence() {
       fixture.run(500);
       fixture.model.faults().crash("t-a");
       fixture.model.fence("t-b", 7, "dead");
@@ -136,7 +136,7 @@
   @Nested
   class Promote {
     @Test
-    void shouldPromoteTheNamedReplicaWithoutLosingAWrite() {
+    void shouldPromoteTheNamedReplicaWithoutLosingWrite() {
       fixture.run(500);
       LogPosition position = fixture.write("a", "t-a", 1).orElseThrow();
       assertFalse(fixture.proxies.get("b").promote(GROUP, "t-c").isEmpty());
--- a/proxy/src/test/java/io/lycheejunction/proxy/group/GroupFixture.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/GroupFixture.java
@@ -120,7 +120,7 @@
   Optional<LogPosition> write(String domain, String target, long term) {
     TargetSpec spec = targets.stream().filter(t -> t.name().equals(target)).findFirst().get();
     Result<TargetConnection> opened = port(domain).open(spec, 100);
-    if (!(opened instanceof Result.Success<TargetConnection>(TargetConnection connection))) {
+    if (!(opened instanceof Result.Success(TargetConnection connection))) {
       return Optional.empty();
     }
     TargetRequest request =
--- a/proxy/src/test/java/io/lycheejunction/proxy/group/GroupWatchersTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/GroupWatchersTest.java
@@ -30,7 +30,7 @@
   @Nested
   class View {
     @Test
-    void shouldNameThePrimaryWhenARoundHasRun() {
+    void shouldNameThePrimaryWhenRoundHasRun() {
       fixture.run(50);
       GroupView view = fixture.watch("b").view(GROUP);
       assertEquals(1, view.term());
@@ -41,7 +41,7 @@
   @Nested
   class ConfirmTerm {
     @Test
-    void shouldConfirmWhenAMajorityAnswers() {
+    void shouldConfirmWhenMajorityAnswers() {
       fixture.run(50);
       fixture.clock.advanceMs(1_000);
       assertEquals(ResultCode.DONE, code(fixture.watch("a").confirmTerm(GROUP, 1, 500)));
@@ -67,7 +67,7 @@
     }
 
     @Test
-    void shouldRefuseWhenAMajorityHasAHigherTerm() {
+    void shouldRefuseWhenMajorityHasHigherTerm() {
       fixture.run(50);
       fixture.model.fence("t-b", 2, "other");
       fixture.model.fence("t-c", 2, "other");
@@ -79,7 +79,7 @@
   @Nested
   class ConfirmReceived {
     @Test
-    void shouldConfirmOnceAReplicaHasReceivedThePosition() {
+    void shouldConfirmOnceReplicaHasReceivedThePosition() {
       fixture.run(50);
       LogPosition position = fixture.write("a", "t-a", 1).orElseThrow();
       Result<GroupView> result = fixture.watch("a").confirmReceived(GROUP, position, 500);
@@ -124,7 +124,7 @@
     }
 
     @Test
-    void shouldRefuseWhenAHigherTermIsLearned() {
+    void shouldRefuseWhenHigherTermIsLearned() {
       fixture.run(50);
       fixture.watch("a").learn(new GroupView(GROUP, 2, Optional.of("t-b"), new LogPosition(2, 2)));
       assertFalse(fixture.watch("a").mayAcknowledge(GROUP, 1));
@@ -152,10 +152,10 @@
     }
 
     @Test
-    void shouldProveNothingWhenThePositionIsOnADivergentSuffix() {
+    void shouldProveNothingWhenThePositionIsOnDivergentSuffix() {
       fixture.run(300);
       cutOffPrimary();
-      LogPosition divergent = fixture.write("a", "t-a", 1).orElseThrow();
+      final LogPosition divergent = fixture.write("a", "t-a", 1).orElseThrow();
       fixture.run(2_500);
       fixture.links.healAll();
       fixture.run(500);
@@ -166,7 +166,7 @@
   @Nested
   class AwaitHigherTerm {
     @Test
-    void shouldAskAWatcherWhenThePublicationWasMissed() {
+    void shouldAskWatcherWhenThePublicationWasMissed() {
       fixture.run(50);
       fixture.deadProxies.add("c");
       fixture.model.faults().crash("t-a");
