Coordinate callers' requests: writes, reads, transactions and key look-ups

Cause: nothing between the HTTP server and Holders decides retries, floors and outcomes. Change: session tokens and idempotency keys in core, the coordinator in proxy.caller. KEY_NOT_FOUND now says outcome-unknown, since a missing record proves nothing.

--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/key/package-info.java
@@ -0,0 +1,2 @@
+/** Idempotency keys: their form, their age and how long the ledgers keep them. */
+package io.lycheejunction.core.key;
--- a/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
+++ b/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
@@ -71,8 +71,8 @@
   CANCELLED(1501, Outcome.REFUSED_NOT_RUN, 409),
   /** The request was sent and its effect is not known yet. */
   UNKNOWN_OUTCOME(1502, Outcome.OUTCOME_UNKNOWN, 504),
-  /** No record of the idempotency key exists. */
-  KEY_NOT_FOUND(1503, Outcome.REFUSED_NOT_RUN, 404),
+  /** No record of the idempotency key exists; a statement under it may still be on its way. */
+  KEY_NOT_FOUND(1503, Outcome.OUTCOME_UNKNOWN, 404),
   /** The transaction was rolled back. */
   ROLLED_BACK(1504, Outcome.REFUSED_NOT_RUN, 409),
 
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/session/TokenCodec.java
@@ -0,0 +1,125 @@
+package io.lycheejunction.core.session;
+
+import com.google.common.hash.HashFunction;
+import com.google.common.hash.Hashing;
+import com.google.common.io.ByteArrayDataInput;
+import com.google.common.io.ByteArrayDataOutput;
+import com.google.common.io.ByteStreams;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.security.MessageDigest;
+import java.util.Arrays;
+import java.util.Base64;
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+/** Writes session tokens as signed text and reads them back. */
+public final class TokenCodec {
+  /** The smallest length of the signing key, in bytes. */
+  public static final int MIN_KEY_BYTES = 16;
+
+  /** The largest length of an encoded token, in characters. */
+  public static final int MAX_TOKEN_CHARS = 32_768;
+
+  private static final byte VERSION = 1;
+  private static final int SIGNATURE_BYTES = 16;
+
+  private final HashFunction signature;
+
+  private TokenCodec(HashFunction signature) {
+    this.signature = signature;
+  }
+
+  /**
+   * Returns the codec of a signing key, which all proxies share.
+   *
+   * @param key the signing key
+   * @return the codec, or {@code BAD_SETTING} if the key is too short
+   */
+  public static Result<TokenCodec> of(byte[] key) {
+    Objects.requireNonNull(key, "key is null");
+    return key.length < MIN_KEY_BYTES
+        ? Result.failure(ResultCode.BAD_SETTING, "the session key has under 16 bytes")
+        : Result.success(new TokenCodec(Hashing.hmacSha256(key)));
+  }
+
+  /**
+   * Returns the text of a token.
+   *
+   * @param token the token
+   * @return the text, in the URL-safe alphabet of base64
+   */
+  public String encode(SessionToken token) {
+    ByteArrayDataOutput out = ByteStreams.newDataOutput();
+    out.writeByte(VERSION);
+    out.writeBoolean(token.complete());
+    out.writeByte(token.positions().size());
+    new TreeMap<>(token.positions())
+        .forEach(
+            (group, position) -> {
+              out.writeUTF(group);
+              out.writeLong(position.term());
+              out.writeLong(position.offset());
+            });
+    byte[] content = out.toByteArray();
+    byte[] signed = Arrays.copyOf(content, content.length + SIGNATURE_BYTES);
+    System.arraycopy(sign(content), 0, signed, content.length, SIGNATURE_BYTES);
+    return Base64.getUrlEncoder().withoutPadding().encodeToString(signed);
+  }
+
+  /**
+   * Returns the token that a text stands for.
+   *
+   * @param text the text, from anywhere
+   * @return the token, or {@code BAD_TOKEN}
+   */
+  public Result<SessionToken> decode(String text) {
+    Objects.requireNonNull(text, "text is null");
+    if (text.length() > MAX_TOKEN_CHARS) {
+      return bad("the token is too long");
+    }
+    byte[] signed;
+    try {
+      signed = Base64.getUrlDecoder().decode(text);
+    } catch (IllegalArgumentException e) {
+      return bad("the token is not base64url");
+    }
+    if (signed.length < SIGNATURE_BYTES) {
+      return bad("the token is truncated");
+    }
+    int contentBytes = signed.length - SIGNATURE_BYTES;
+    byte[] content = Arrays.copyOf(signed, contentBytes);
+    byte[] given = Arrays.copyOfRange(signed, contentBytes, signed.length);
+    return MessageDigest.isEqual(sign(content), given)
+        ? read(content)
+        : bad("the token's signature is wrong");
+  }
+
+  private byte[] sign(byte[] content) {
+    return Arrays.copyOf(signature.hashBytes(content).asBytes(), SIGNATURE_BYTES);
+  }
+
+  private static Result<SessionToken> read(byte[] content) {
+    try {
+      ByteArrayDataInput in = ByteStreams.newDataInput(content);
+      if (in.readByte() != VERSION) {
+        return bad("the token's version is not known");
+      }
+      final boolean complete = in.readBoolean();
+      int groups = in.readUnsignedByte();
+      Map<String, LogPosition> positions = new TreeMap<>();
+      for (int i = 0; i < groups; i++) {
+        positions.put(in.readUTF(), new LogPosition(in.readLong(), in.readLong()));
+      }
+      return Result.success(new SessionToken(positions, complete));
+    } catch (IllegalStateException | IllegalArgumentException e) {
+      return bad("the token's content is malformed");
+    }
+  }
+
+  private static <T> Result<T> bad(String detail) {
+    return Result.failure(ResultCode.BAD_TOKEN, detail);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
@@ -0,0 +1,262 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.configuration.ConfigurationSource;
+import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.key.IdempotencyKey;
+import io.lycheejunction.core.port.Access;
+import io.lycheejunction.core.port.Peers;
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.session.SessionToken;
+import io.lycheejunction.proxy.holder.Holders;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.BiFunction;
+import java.util.random.RandomGenerator;
+
+/** Takes callers' requests through their whole path; the methods block up to the deadline. */
+public final class Coordinator {
+  private static final EventLog LOG = EventLog.of(Coordinator.class);
+  private static final String NO_SERVICE = "-";
+
+  private final ConfigurationSource configuration;
+  private final GroupWatch watch;
+  private final RuntimeClock clock;
+  private final CallerLimits limits;
+  private final InFlight inFlight;
+  private final Settler settler;
+  private final Refusals refusals = new Refusals();
+  private final CallerMetrics metrics;
+  private final KeyResolver keys;
+  private final Writes writes;
+  private final Reads reads;
+  private final Transactions transactions;
+
+  /**
+   * Creates a coordinator.
+   *
+   * @param configuration the configuration in force
+   * @param watch knows the groups
+   * @param holders runs statements on targets
+   * @param peers knows this proxy and the leaving targets
+   * @param resends the budget for sending again
+   * @param random the source of jitter, safe for use by many threads
+   * @param clock the runtime clock
+   * @param limits the limits of callers' requests
+   * @param metrics counts the requests
+   */
+  public Coordinator(
+      ConfigurationSource configuration,
+      GroupWatch watch,
+      Holders holders,
+      Peers peers,
+      Resends resends,
+      RandomGenerator random,
+      RuntimeClock clock,
+      CallerLimits limits,
+      CallerMetrics metrics) {
+    this.configuration = Objects.requireNonNull(configuration, "configuration is null");
+    this.watch = Objects.requireNonNull(watch, "watch is null");
+    this.clock = Objects.requireNonNull(clock, "clock is null");
+    this.limits = Objects.requireNonNull(limits, "limits is null");
+    this.metrics = Objects.requireNonNull(metrics, "metrics is null");
+    this.inFlight = new InFlight(limits.maxInFlight());
+    this.settler = new Settler(holders, watch, clock, limits);
+    this.keys = new KeyResolver(holders, watch, settler);
+    final String vm = peers.self().name();
+    final TermWait termWait = new TermWait(watch, clock, random);
+    this.writes = new Writes(holders, watch, keys, resends, termWait, vm);
+    this.reads = new Reads(holders, watch, new ReadTargets(peers), resends, termWait, vm);
+    this.transactions = new Transactions(holders, watch, keys, resends, termWait, vm);
+    metrics.watch(inFlight, settler);
+  }
+
+  /**
+   * Returns the answer to a single statement.
+   *
+   * @param call the statement
+   * @return the answer
+   */
+  public Answer execute(StatementCall call) {
+    boolean isRead = call.access() == Access.READ;
+    RequestKind kind = isRead ? RequestKind.READ : RequestKind.WRITE;
+    Request request = new Request(call.service(), kind, call.session(), call.timeoutMs());
+    return handle(
+        request,
+        isRead ? Optional.empty() : call.key(),
+        (route, deadline) ->
+            isRead ? read(route, call, deadline) : writes.run(route, call, deadline));
+  }
+
+  private Answer read(Route route, StatementCall call, Deadline deadline) {
+    Answer answer = reads.run(route, call, deadline);
+    if (answer.code() == ResultCode.DONE) {
+      boolean isPrimary = answer.target().equals(watch.view(route.groupName()).primary());
+      metrics.recordRead(route.service().name(), isPrimary ? Role.PRIMARY : Role.REPLICA);
+    }
+    return answer;
+  }
+
+  /**
+   * Returns the answer to the begin of a transaction.
+   *
+   * @param call the begin
+   * @return the answer, with the transaction's identifier if it is open
+   */
+  public Answer begin(BeginCall call) {
+    return handle(
+        new Request(call.service(), RequestKind.BEGIN, call.session(), call.timeoutMs()),
+        Optional.empty(),
+        (route, deadline) -> transactions.begin(route, call, deadline));
+  }
+
+  /**
+   * Returns the answer to a statement in a transaction.
+   *
+   * @param call the step
+   * @param access the declared effect
+   * @param statement the text of the statement
+   * @return the answer
+   */
+  public Answer step(StepCall call, Access access, String statement) {
+    return handle(
+        new Request(call.service(), RequestKind.STEP, call.session(), call.timeoutMs()),
+        Optional.empty(),
+        (route, deadline) -> transactions.statement(route, call, access, statement, deadline));
+  }
+
+  /**
+   * Returns the answer to a commit.
+   *
+   * @param call the step
+   * @param key the idempotency key, if any
+   * @return the answer
+   */
+  public Answer commit(StepCall call, Optional<IdempotencyKey> key) {
+    return handle(
+        new Request(call.service(), RequestKind.COMMIT, call.session(), call.timeoutMs()),
+        key,
+        (route, deadline) -> transactions.commit(route, call, key, deadline));
+  }
+
+  /**
+   * Returns the answer to a rollback.
+   *
+   * @param call the step
+   * @return the answer
+   */
+  public Answer rollback(StepCall call) {
+    return handle(
+        new Request(call.service(), RequestKind.ROLLBACK, call.session(), call.timeoutMs()),
+        Optional.empty(),
+        (route, deadline) -> transactions.rollback(route, call, deadline));
+  }
+
+  /**
+   * Returns what is recorded for an idempotency key.
+   *
+   * @param service the name of the service
+   * @param key the key
+   * @param session what the session must see
+   * @param timeoutMs the time to the deadline, in milliseconds
+   * @return the answer
+   */
+  public Answer outcome(String service, IdempotencyKey key, SessionToken session, long timeoutMs) {
+    return handle(
+        new Request(service, RequestKind.OUTCOME, session, timeoutMs),
+        Optional.of(key),
+        (route, deadline) ->
+            keys.ask(route.groupName(), key.text(), false, deadline)
+                .fold(
+                    fault -> Answer.of(fault, session),
+                    found -> keys.answer(route.groupName(), session, found)));
+  }
+
+  private record Request(String service, RequestKind kind, SessionToken session, long timeoutMs) {}
+
+  private Answer handle(
+      Request request, Optional<IdempotencyKey> key, BiFunction<Route, Deadline, Answer> body) {
+    final long startMs = clock.monotonicMs();
+    Answer answer =
+        switch (inFlight.enter()) {
+          case InFlight.Entry.Refused(Fault fault) -> Answer.of(fault, request.session());
+          case InFlight.Entry.Taken(InFlight.Place place) -> {
+            try (place) {
+              yield checked(request, key, body);
+            }
+          }
+        };
+    String service =
+        configuration.current().service(request.service()).isPresent()
+            ? request.service()
+            : NO_SERVICE;
+    refusals.record(service, answer.code());
+    metrics.record(service, request.kind(), answer.code(), clock.monotonicMs() - startMs);
+    return answer;
+  }
+
+  private Answer checked(
+      Request request, Optional<IdempotencyKey> key, BiFunction<Route, Deadline, Answer> body) {
+    Deadline deadline = Deadline.after(clock, request.timeoutMs());
+    Result<Route> route =
+        Route.of(configuration.current(), request.service()).flatMap(found -> withKey(found, key));
+    return switch (route) {
+      case Result.Failure<Route>(Fault fault) -> Answer.of(fault, request.session());
+      case Result.Success<Route>(Route found) -> guarded(request, key, found, deadline, body);
+    };
+  }
+
+  private Result<Route> withKey(Route route, Optional<IdempotencyKey> key) {
+    return key.isEmpty()
+        ? Result.success(route)
+        : key.get().checkAge(clock.wallMs(), limits.retention()).map(checked -> route);
+  }
+
+  private Answer guarded(
+      Request request,
+      Optional<IdempotencyKey> key,
+      Route route,
+      Deadline deadline,
+      BiFunction<Route, Deadline, Answer> body) {
+    try {
+      return body.apply(route, deadline);
+    } catch (RuntimeException e) {
+      LOG.warn("request_failed", "service", request.service(), "cause", e);
+      Fault fault = Fault.of(ResultCode.INTERNAL_UNKNOWN, "the proxy failed on the request");
+      key.filter(known -> request.kind() != RequestKind.OUTCOME)
+          .ifPresent(known -> settler.offer(route.groupName(), known.text()));
+      return Answer.of(fault, request.session());
+    }
+  }
+
+  /**
+   * Returns the table of requests in flight.
+   *
+   * @return the table
+   */
+  public InFlight inFlight() {
+    return inFlight;
+  }
+
+  /**
+   * Returns the settler, whose step must be run from time to time.
+   *
+   * @return the settler
+   */
+  public Settler settler() {
+    return settler;
+  }
+
+  /**
+   * Returns the counts of refusals.
+   *
+   * @return the counts
+   */
+  public Refusals refusals() {
+    return refusals;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Settler.java
@@ -0,0 +1,118 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.proxy.holder.Holders;
+import io.lycheejunction.proxy.holder.KeyAnswer;
+import io.lycheejunction.proxy.holder.KeyQuery;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Settles in the background which writes of unknown outcome ran: recorded or cancelled. */
+public final class Settler {
+  private static final EventLog LOG = EventLog.of(Settler.class);
+  private static final long QUERY_TIMEOUT_MS = 1_000;
+  private static final int KEYS_PER_STEP = 32;
+
+  private record Pending(String group, String key, long sinceMs) {}
+
+  private final Holders holders;
+  private final GroupWatch watch;
+  private final RuntimeClock clock;
+  private final CallerLimits limits;
+  private final Deque<Pending> queue = new ArrayDeque<>();
+
+  /**
+   * Creates a settler with an empty queue.
+   *
+   * @param holders asks the ledgers
+   * @param watch knows the primaries
+   * @param clock the runtime clock
+   * @param limits the size of the queue and the retention of keys
+   */
+  public Settler(Holders holders, GroupWatch watch, RuntimeClock clock, CallerLimits limits) {
+    this.holders = Objects.requireNonNull(holders, "holders is null");
+    this.watch = Objects.requireNonNull(watch, "watch is null");
+    this.clock = Objects.requireNonNull(clock, "clock is null");
+    this.limits = Objects.requireNonNull(limits, "limits is null");
+  }
+
+  /**
+   * Adds a key to be settled; drops the oldest one if the queue is full.
+   *
+   * @param group the name of the group
+   * @param key the key
+   */
+  synchronized void offer(String group, String key) {
+    if (queue.size() >= limits.maxUnsettled()) {
+      Pending dropped = queue.removeFirst();
+      LOG.warn("settling_dropped", "group", dropped.group(), "key", dropped.key());
+    }
+    queue.addLast(new Pending(group, key, clock.monotonicMs()));
+  }
+
+  /**
+   * Returns the number of keys that wait.
+   *
+   * @return the number
+   */
+  public synchronized int size() {
+    return queue.size();
+  }
+
+  /** Asks for some of the keys that wait, each once; those that stay unknown are kept. */
+  public void settle() {
+    int turns = Math.min(KEYS_PER_STEP, size());
+    for (int i = 0; i < turns; i++) {
+      Pending next = take();
+      if (next == null) {
+        return;
+      }
+      if (!isSettled(next)) {
+        keep(next);
+      }
+    }
+  }
+
+  private synchronized Pending take() {
+    return queue.pollFirst();
+  }
+
+  private synchronized void keep(Pending pending) {
+    if (clock.monotonicMs() - pending.sinceMs() >= limits.retention().maxAgeMs()) {
+      LOG.warn("settling_expired", "group", pending.group(), "key", pending.key());
+      return;
+    }
+    if (queue.size() < limits.maxUnsettled()) {
+      queue.addLast(pending);
+    }
+  }
+
+  private boolean isSettled(Pending pending) {
+    GroupView view = watch.view(pending.group());
+    Optional<String> primary = view.primary();
+    if (primary.isEmpty()) {
+      return false;
+    }
+    Result<KeyAnswer> result =
+        holders.outcome(
+            new KeyQuery(
+                pending.group(),
+                primary.get(),
+                view.term(),
+                pending.key(),
+                true,
+                QUERY_TIMEOUT_MS));
+    KeyAnswer.State state = result.map(KeyAnswer::state).getOrElse(KeyAnswer.State.ABSENT);
+    if (state == KeyAnswer.State.ABSENT) {
+      return false;
+    }
+    LOG.info("key_settled", "group", pending.group(), "key", pending.key(), "state", state);
+    return true;
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/StepCall.java
@@ -0,0 +1,21 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.core.session.SessionToken;
+import java.util.Objects;
+
+/**
+ * What the steps of a transaction have in common.
+ *
+ * @param service the name of the service
+ * @param transaction the identifier of the transaction
+ * @param session what the session must see
+ * @param timeoutMs the time to the deadline of the step, in milliseconds
+ */
+public record StepCall(String service, String transaction, SessionToken session, long timeoutMs) {
+  /** Rejects null components. */
+  public StepCall {
+    Objects.requireNonNull(service, "service is null");
+    Objects.requireNonNull(transaction, "transaction is null");
+    Objects.requireNonNull(session, "session is null");
+  }
+}
