--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
@@ -176,6 +176,22 @@
                     found -> keys.answer(route.groupName(), session, found)));
   }
 
+  /**
+   * Returns the fault after counting it as the answer to a request that could not be read.
+   *
+   * @param service the service that the request named
+   * @param fault the fault
+   * @return the same fault
+   */
+  Fault refuse(String service, Fault fault) {
+    refusals.record(known(service), fault.code());
+    return fault;
+  }
+
+  private String known(String service) {
+    return configuration.current().service(service).isPresent() ? service : NO_SERVICE;
+  }
+
   private record Request(String service, RequestKind kind, SessionToken session, long timeoutMs) {}
 
   private Answer handle(
@@ -190,10 +206,7 @@
             }
           }
         };
-    String service =
-        configuration.current().service(request.service()).isPresent()
-            ? request.service()
-            : NO_SERVICE;
+    String service = known(request.service());
     refusals.record(service, answer.code());
     metrics.record(service, request.kind(), answer.code(), clock.monotonicMs() - startMs);
     return answer;
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/RequestParser.java
@@ -0,0 +1,244 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.core.key.IdempotencyKey;
+import io.lycheejunction.core.port.Access;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.session.SessionToken;
+import io.lycheejunction.core.session.TokenCodec;
+import java.nio.charset.StandardCharsets;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Turns the bodies and headers of callers' requests into calls, and checks every value. */
+public final class RequestParser {
+  private static final byte[] NO_FIELDS = "{}".getBytes(StandardCharsets.UTF_8);
+  private static final long DEFAULT_IDLE_LIMIT_MS = 10_000;
+
+  private final TokenCodec tokens;
+  private final CallerLimits limits;
+  private final BodyParser bodies;
+
+  /**
+   * A statement in a transaction.
+   *
+   * @param call the step
+   * @param access the declared effect
+   * @param statement the text of the statement
+   */
+  record Step(StepCall call, Access access, String statement) {}
+
+  /**
+   * A commit or a rollback.
+   *
+   * @param call the step
+   * @param key the idempotency key, if any
+   */
+  record End(StepCall call, Optional<IdempotencyKey> key) {}
+
+  /**
+   * Creates a parser.
+   *
+   * @param tokens reads session tokens
+   * @param limits the limits of callers' requests
+   */
+  public RequestParser(TokenCodec tokens, CallerLimits limits) {
+    this.tokens = Objects.requireNonNull(tokens, "tokens is null");
+    this.limits = Objects.requireNonNull(limits, "limits is null");
+    this.bodies = new BodyParser(limits.maxBodyBytes());
+  }
+
+  /**
+   * Returns a single statement.
+   *
+   * @param service the name of the service
+   * @param headers the headers
+   * @param body the bytes of the body
+   * @return the call, or the fault
+   */
+  Result<StatementCall> statement(String service, CallerHeaders headers, byte[] body) {
+    return bodies
+        .parse(body, StatementBody.class)
+        .flatMap(fields -> statement(service, headers, fields));
+  }
+
+  private Result<StatementCall> statement(
+      String service, CallerHeaders headers, StatementBody fields) {
+    return access(fields.access())
+        .flatMap(
+            access ->
+                text(fields.statement())
+                    .flatMap(
+                        statement ->
+                            statement(service, headers, fields, new Typed(access, statement))));
+  }
+
+  private record Typed(Access access, String statement) {}
+
+  private Result<StatementCall> statement(
+      String service, CallerHeaders headers, StatementBody fields, Typed typed) {
+    if (fields.maxAgeMs().isPresent() && typed.access() == Access.WRITE) {
+      return bad("maxAgeMs is for reads");
+    }
+    if (fields.maxAgeMs().orElse(0L) < 0) {
+      return bad("maxAgeMs is negative");
+    }
+    return timeoutMs(fields.timeoutMs())
+        .flatMap(
+            timeoutMs ->
+                session(headers, fields.newSession())
+                    .flatMap(
+                        session ->
+                            key(headers)
+                                .map(
+                                    key ->
+                                        new StatementCall(
+                                            service,
+                                            typed.statement(),
+                                            typed.access(),
+                                            fields.idempotent().orElse(false),
+                                            key,
+                                            session,
+                                            fields.maxAgeMs(),
+                                            timeoutMs))));
+  }
+
+  /**
+   * Returns the begin of a transaction.
+   *
+   * @param service the name of the service
+   * @param headers the headers
+   * @param body the bytes of the body, which may be empty
+   * @return the call, or the fault
+   */
+  Result<BeginCall> begin(String service, CallerHeaders headers, byte[] body) {
+    return bodies
+        .parse(orNoFields(body), BeginBody.class)
+        .flatMap(
+            fields ->
+                timeoutMs(fields.timeoutMs())
+                    .flatMap(
+                        timeoutMs ->
+                            idleLimitMs(fields.idleLimitMs())
+                                .flatMap(
+                                    idleMs ->
+                                        session(headers, fields.newSession())
+                                            .map(
+                                                session ->
+                                                    new BeginCall(
+                                                        service, session, idleMs, timeoutMs)))));
+  }
+
+  /**
+   * Returns a statement in a transaction.
+   *
+   * @param service the name of the service
+   * @param transaction the identifier of the transaction
+   * @param headers the headers
+   * @param body the bytes of the body
+   * @return the step, or the fault
+   */
+  Result<Step> step(String service, String transaction, CallerHeaders headers, byte[] body) {
+    return bodies
+        .parse(body, StepBody.class)
+        .flatMap(
+            fields ->
+                access(fields.access())
+                    .flatMap(
+                        access ->
+                            text(fields.statement())
+                                .flatMap(
+                                    statement ->
+                                        call(service, transaction, headers, fields.timeoutMs())
+                                            .map(call -> new Step(call, access, statement)))));
+  }
+
+  /**
+   * Returns a commit or a rollback.
+   *
+   * @param service the name of the service
+   * @param transaction the identifier of the transaction
+   * @param headers the headers
+   * @param body the bytes of the body, which may be empty
+   * @return the end, or the fault
+   */
+  Result<End> end(String service, String transaction, CallerHeaders headers, byte[] body) {
+    return bodies
+        .parse(orNoFields(body), EndBody.class)
+        .flatMap(
+            fields ->
+                call(service, transaction, headers, fields.timeoutMs())
+                    .flatMap(call -> key(headers).map(key -> new End(call, key))));
+  }
+
+  /**
+   * Returns the session of a request without a body.
+   *
+   * @param headers the headers
+   * @return the session, or {@code BAD_TOKEN}
+   */
+  Result<SessionToken> session(CallerHeaders headers) {
+    return session(headers, Optional.empty());
+  }
+
+  private Result<StepCall> call(
+      String service, String transaction, CallerHeaders headers, Optional<Long> askedMs) {
+    return timeoutMs(askedMs)
+        .flatMap(
+            timeoutMs ->
+                session(headers)
+                    .map(session -> new StepCall(service, transaction, session, timeoutMs)));
+  }
+
+  private static byte[] orNoFields(byte[] body) {
+    return body.length == 0 ? NO_FIELDS : body;
+  }
+
+  private Result<SessionToken> session(CallerHeaders headers, Optional<Boolean> newSession) {
+    if (headers.session().isPresent()) {
+      return tokens.decode(headers.session().get());
+    }
+    return Result.success(
+        newSession.orElse(false) ? SessionToken.newSession() : SessionToken.empty());
+  }
+
+  private static Result<Optional<IdempotencyKey>> key(CallerHeaders headers) {
+    return headers
+        .key()
+        .map(text -> IdempotencyKey.parse(text).map(Optional::of))
+        .orElseGet(() -> Result.success(Optional.empty()));
+  }
+
+  private Result<Long> timeoutMs(Optional<Long> askedMs) {
+    return inRange("timeoutMs", askedMs.orElse(limits.defaultTimeoutMs()), limits.maxTimeoutMs());
+  }
+
+  private Result<Long> idleLimitMs(Optional<Long> askedMs) {
+    long defaultMs = Math.min(DEFAULT_IDLE_LIMIT_MS, limits.maxIdleMs());
+    return inRange("idleLimitMs", askedMs.orElse(defaultMs), limits.maxIdleMs());
+  }
+
+  private static Result<Long> inRange(String field, long value, long max) {
+    return value < 1 || value > max
+        ? bad(field + " is not between 1 and " + max)
+        : Result.success(value);
+  }
+
+  private static Result<String> text(Optional<String> statement) {
+    return statement.filter(text -> !text.isBlank()).isEmpty()
+        ? bad("statement is missing or empty")
+        : Result.success(statement.get());
+  }
+
+  private static Result<Access> access(Optional<String> access) {
+    return switch (access.orElse("")) {
+      case "read" -> Result.success(Access.READ);
+      case "write" -> Result.success(Access.WRITE);
+      default -> bad("access is neither read nor write");
+    };
+  }
+
+  private static <T> Result<T> bad(String detail) {
+    return Result.failure(ResultCode.BAD_VALUE, detail);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/StatementController.java
@@ -0,0 +1,55 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.core.result.Result;
+import io.micronaut.core.annotation.Nullable;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.annotation.Body;
+import io.micronaut.http.annotation.Controller;
+import io.micronaut.http.annotation.PathVariable;
+import io.micronaut.http.annotation.Post;
+import io.micronaut.scheduling.TaskExecutors;
+import io.micronaut.scheduling.annotation.ExecuteOn;
+import java.util.Objects;
+
+/** Receives callers' single statements. */
+@Controller("/v1/services/{service}/statements")
+@ExecuteOn(TaskExecutors.BLOCKING)
+public class StatementController {
+  private final Coordinator coordinator;
+  private final RequestParser parser;
+  private final HttpAnswers answers;
+
+  /**
+   * Creates the controller.
+   *
+   * @param coordinator takes requests through their path
+   * @param parser reads requests
+   * @param answers writes answers
+   */
+  public StatementController(Coordinator coordinator, RequestParser parser, HttpAnswers answers) {
+    this.coordinator = Objects.requireNonNull(coordinator, "coordinator is null");
+    this.parser = Objects.requireNonNull(parser, "parser is null");
+    this.answers = Objects.requireNonNull(answers, "answers is null");
+  }
+
+  /**
+   * Returns the answer to a statement.
+   *
+   * @param request the whole request
+   * @param service the name of the service
+   * @param body the bytes of the body
+   * @return the response
+   */
+  @Post(consumes = MediaType.ALL, produces = MediaType.APPLICATION_JSON)
+  public HttpResponse<?> execute(
+      HttpRequest<?> request, @PathVariable String service, @Nullable @Body byte[] body) {
+    Result<StatementCall> call =
+        parser.statement(service, Requests.headers(request), Requests.bytes(body));
+    return call.fold(
+        fault -> answers.refused(coordinator.refuse(service, fault)),
+        statement ->
+            answers.of(HangUps.guard(request, () -> coordinator.execute(statement)).answer()));
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/TooLargeHandler.java
@@ -0,0 +1,37 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.micronaut.context.annotation.Replaces;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.annotation.Produces;
+import io.micronaut.http.exceptions.ContentLengthExceededException;
+import io.micronaut.http.server.exceptions.ContentLengthExceededHandler;
+import io.micronaut.http.server.exceptions.ExceptionHandler;
+import jakarta.inject.Singleton;
+import java.util.Objects;
+
+/** Answers requests whose bodies are larger than the server reads. */
+@Singleton
+@Produces
+@Replaces(ContentLengthExceededHandler.class)
+public class TooLargeHandler
+    implements ExceptionHandler<ContentLengthExceededException, HttpResponse<?>> {
+  private final HttpAnswers answers;
+
+  /**
+   * Creates the handler.
+   *
+   * @param answers writes answers
+   */
+  public TooLargeHandler(HttpAnswers answers) {
+    this.answers = Objects.requireNonNull(answers, "answers is null");
+  }
+
+  @Override
+  public HttpResponse<?> handle(HttpRequest request, ContentLengthExceededException exception) {
+    return answers.refused(
+        Fault.of(ResultCode.BODY_TOO_LARGE, "the body is larger than the server reads"));
+  }
+}
