--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorReadTest.java
@@ -0,0 +1,150 @@
+package io.lycheejunction.proxy.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.lycheejunction.core.result.Outcome;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.session.SessionToken;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.proxy.holder.HeldAnswer;
+import io.lycheejunction.proxy.holder.HeldStatement;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CoordinatorReadTest {
+  private static final LogPosition OLD = new LogPosition(1, 3);
+  private static final LogPosition LATEST = new LogPosition(1, 9);
+  private final CoordinatorFixture f = new CoordinatorFixture();
+
+  private static Result<HeldAnswer> row(HeldStatement statement) {
+    return CoordinatorFixture.answered(statement.target(), LATEST, CoordinatorFixture.VIEW);
+  }
+
+  private static Result<HeldAnswer> fault(ResultCode code) {
+    return CoordinatorFixture.fault(code);
+  }
+
+  private static SessionToken token(LogPosition position) {
+    return SessionToken.of(CoordinatorFixture.GROUP, position);
+  }
+
+  private HeldStatement asked(SessionToken session, Optional<Long> maxAgeMs) {
+    f.holders.onExecute = CoordinatorReadTest::row;
+    f.coordinator.execute(f.read(session, maxAgeMs));
+    return f.holders.statements.getFirst();
+  }
+
+  @Nested
+  class Floor {
+    @Test
+    void shouldBeTokensPositionWhenReadAcceptsAge() {
+      assertEquals(OLD, asked(token(OLD), Optional.of(100L)).floor());
+    }
+
+    @Test
+    void shouldBeLatestPositionWhenReadAcceptsNoAge() {
+      HeldStatement statement = asked(token(OLD), Optional.empty());
+      assertEquals(LATEST, statement.floor());
+      assertEquals(Optional.empty(), statement.maxAgeMs());
+    }
+
+    @Test
+    void shouldBeTokensPositionWhenItIsLaterThanLatest() {
+      LogPosition later = new LogPosition(2, 1);
+      assertEquals(later, asked(token(later), Optional.empty()).floor());
+    }
+
+    @Test
+    void shouldBeLatestPositionWhenTokenIsMissing() {
+      assertEquals(LATEST, asked(SessionToken.empty(), Optional.of(100L)).floor());
+    }
+
+    @Test
+    void shouldBeOriginWhenSessionIsNew() {
+      HeldStatement statement = asked(SessionToken.newSession(), Optional.of(100L));
+      assertEquals(LogPosition.ORIGIN, statement.floor());
+    }
+
+    @Test
+    void shouldBeKeptInTokenWhenTokenWasMissing() {
+      f.holders.onExecute = CoordinatorReadTest::row;
+      Answer answer = f.coordinator.execute(f.read(SessionToken.empty(), Optional.of(100L)));
+      assertEquals(Optional.of(LATEST), answer.session().floor(CoordinatorFixture.GROUP));
+      assertEquals(Optional.empty(), answer.session().floor("other"));
+    }
+
+    @Test
+    void shouldRefuseWhenTokenIsMissingAndGroupCannotTell() {
+      f.holders.floor = Result.failure(ResultCode.MAJORITY_LOST, "scripted");
+      Answer answer = f.coordinator.execute(f.read(SessionToken.empty(), Optional.of(100L)));
+      assertEquals(ResultCode.MAJORITY_LOST, answer.code());
+    }
+
+    @Test
+    void shouldSayNotRunWhenReplyOfFloorIsLost() {
+      f.holders.floor = Result.failure(ResultCode.UNKNOWN_OUTCOME, "scripted");
+      Answer answer = f.coordinator.execute(f.read(SessionToken.empty(), Optional.of(100L)));
+      assertEquals(Outcome.REFUSED_NOT_RUN, answer.code().outcome());
+    }
+  }
+
+  @Nested
+  class Age {
+    @Test
+    void shouldBeCappedByServiceWhenCallerAsksForMore() {
+      HeldStatement statement = asked(token(OLD), Optional.of(60_000L));
+      assertEquals(Optional.of(1_000L), statement.maxAgeMs());
+    }
+  }
+
+  @Nested
+  class Order {
+    @Test
+    void shouldTryOwnDomainFirstAndPrimaryLast() {
+      f.holders.onExecute = s -> fault(ResultCode.NOT_FRESH);
+      f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      List<String> targets =
+          f.holders.statements.stream().map(HeldStatement::target).limit(3).toList();
+      assertEquals(List.of("t2", "t3", "t1"), targets);
+    }
+
+    @Test
+    void shouldAnswerFromPrimaryWhenReplicasAreBehind() {
+      f.holders.onExecute = s -> s.target().equals("t1") ? row(s) : fault(ResultCode.NOT_FRESH);
+      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      assertEquals(Optional.of("t1"), answer.target());
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhenStatementIsInvalid() {
+      f.holders.onExecute = s -> fault(ResultCode.BAD_STATEMENT);
+      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      assertEquals(ResultCode.BAD_STATEMENT, answer.code());
+      assertEquals(1, f.holders.statements.size());
+    }
+
+    @Test
+    void shouldSayThatAgeIsNotProvenWhenPrimaryIsUnreachable() {
+      f.holders.onExecute =
+          s ->
+              fault(
+                  s.target().equals("t1")
+                      ? ResultCode.TARGET_UNREACHABLE
+                      : ResultCode.AGE_NOT_PROVEN);
+      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      assertEquals(ResultCode.AGE_NOT_PROVEN, answer.code());
+    }
+
+    @Test
+    void shouldSayUnknownWhenOneAttemptMayHaveRun() {
+      f.holders.onExecute =
+          CoordinatorFixture.script(
+              fault(ResultCode.UNKNOWN_OUTCOME), fault(ResultCode.QUEUE_FULL));
+      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      assertEquals(Outcome.OUTCOME_UNKNOWN, answer.code().outcome());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorTransactionTest.java
@@ -0,0 +1,123 @@
+package io.lycheejunction.proxy.caller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.session.SessionToken;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.proxy.holder.KeyAnswer;
+import io.lycheejunction.proxy.holder.TransactionId;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class CoordinatorTransactionTest {
+  private final CoordinatorFixture f = new CoordinatorFixture();
+
+  private StepCall step() {
+    return new StepCall(
+        CoordinatorFixture.SERVICE,
+        "vm-a:1",
+        SessionToken.newSession(),
+        CoordinatorFixture.TIMEOUT_MS);
+  }
+
+  private Answer commit() {
+    return f.coordinator.commit(step(), Optional.of(f.key()));
+  }
+
+  @Nested
+  class Begin {
+    private final BeginCall call =
+        new BeginCall(
+            CoordinatorFixture.SERVICE, SessionToken.empty(), 1_000, CoordinatorFixture.TIMEOUT_MS);
+
+    @Test
+    void shouldAnswerIdentifierWhenOpen() {
+      assertEquals(Optional.of("vm-a:1"), f.coordinator.begin(call).transaction());
+    }
+
+    @Test
+    void shouldWaitForNewPrimaryWhenNoneIsKnown() {
+      f.watch.set(new GroupView(CoordinatorFixture.GROUP, 1, Optional.empty(), LogPosition.ORIGIN));
+      f.clock.afterMs(500, () -> f.watch.set(CoordinatorFixture.NEXT_VIEW));
+      f.holders.onBegin = start -> Result.success(new TransactionId("vm-a:" + start.term()));
+      assertEquals(Optional.of("vm-a:2"), f.coordinator.begin(call).transaction());
+    }
+  }
+
+  @Nested
+  class Commit {
+    @Test
+    void shouldAnswerCommitPositionWhenDone() {
+      LogPosition position = new LogPosition(1, 12);
+      f.holders.onStep = s -> CoordinatorFixture.answered("t1", position, CoordinatorFixture.VIEW);
+      assertEquals(Optional.of(position), commit().session().floor(CoordinatorFixture.GROUP));
+    }
+
+    @Test
+    void shouldAnswerRecordedOutcomeWhenReplyIsLost() {
+      f.holders.onStep = s -> CoordinatorFixture.fault(ResultCode.UNKNOWN_OUTCOME);
+      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      Answer answer = commit();
+      assertEquals(ResultCode.DONE, answer.code());
+      assertTrue(answer.replayed());
+      assertEquals(1, f.holders.steps.size());
+    }
+
+    @Test
+    void shouldCancelWhenReplyIsLostAndLedgerHasNoRecord() {
+      f.holders.onStep = s -> CoordinatorFixture.fault(ResultCode.UNKNOWN_OUTCOME);
+      f.holders.onOutcome =
+          q ->
+              CoordinatorFixture.state(
+                  q.cancelIfAbsent() ? KeyAnswer.State.CANCELLED : KeyAnswer.State.ABSENT);
+      assertEquals(ResultCode.CANCELLED, commit().code());
+      assertFalse(f.holders.queries.getFirst().cancelIfAbsent());
+    }
+
+    @Test
+    void shouldAnswerRecordedOutcomeWhenCommitIsRepeated() {
+      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      assertEquals(ResultCode.DONE, commit().code());
+    }
+
+    @Test
+    void shouldSayUnknownWhenTransactionIsGoneAndLedgerIsUnreachable() {
+      assertEquals(ResultCode.UNKNOWN_OUTCOME, commit().code());
+      assertEquals(1, f.coordinator.settler().size());
+    }
+
+    @Test
+    void shouldRefuseWithoutKeyWhenTransactionIsUnknown() {
+      Answer answer = f.coordinator.commit(step(), Optional.empty());
+      assertEquals(ResultCode.UNKNOWN_TRANSACTION, answer.code());
+    }
+  }
+
+  @Nested
+  class Outcome {
+    @Test
+    void shouldCarryTokenWhenRecorded() {
+      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      Answer answer =
+          f.coordinator.outcome(
+              CoordinatorFixture.SERVICE, f.key(), SessionToken.newSession(), 1_000);
+      assertEquals(
+          Optional.of(new LogPosition(2, 3)), answer.session().floor(CoordinatorFixture.GROUP));
+    }
+
+    @Test
+    void shouldProveNothingWhenNoRecordExists() {
+      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.ABSENT);
+      Answer answer =
+          f.coordinator.outcome(CoordinatorFixture.SERVICE, f.key(), SessionToken.empty(), 1_000);
+      assertEquals(ResultCode.KEY_NOT_FOUND, answer.code());
+      assertEquals(io.lycheejunction.core.result.Outcome.OUTCOME_UNKNOWN, answer.code().outcome());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/FakeWatch.java
@@ -0,0 +1,71 @@
+package io.lycheejunction.proxy.caller;
+
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.OptionalLong;
+
+/** Knows one group, as a test says. */
+final class FakeWatch implements GroupWatch {
+  private final RuntimeClock clock;
+  private volatile GroupView view;
+
+  FakeWatch(RuntimeClock clock, GroupView view) {
+    this.clock = clock;
+    this.view = view;
+  }
+
+  void set(GroupView next) {
+    view = next;
+  }
+
+  @Override
+  public GroupView view(String group) {
+    return view;
+  }
+
+  @Override
+  public void learn(GroupView other) {
+    view = view.merge(other);
+  }
+
+  @Override
+  public GroupView awaitHigherTerm(String group, long term, long timeoutMs) {
+    try {
+      clock.sleepMs(timeoutMs);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+    return view;
+  }
+
+  @Override
+  public Result<GroupView> confirmTerm(String group, long term, long timeoutMs) {
+    return Result.success(view);
+  }
+
+  @Override
+  public Result<GroupView> confirmReceived(String group, LogPosition position, long timeoutMs) {
+    return Result.success(view);
+  }
+
+  @Override
+  public boolean mayAcknowledge(String group, long term) {
+    return true;
+  }
+
+  @Override
+  public OptionalLong ageMs(String group, LogPosition applied) {
+    return OptionalLong.empty();
+  }
+
+  @Override
+  public LogPosition applied(String group, String target) {
+    return LogPosition.ORIGIN;
+  }
+
+  @Override
+  public void unreachable(String group, String target, boolean refused) {}
+}
