--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
@@ -218,8 +218,8 @@
     Result<Route> route =
         Route.of(configuration.current(), request.service()).flatMap(found -> withKey(found, key));
     return switch (route) {
-      case Result.Failure<Route>(Fault fault) -> Answer.of(fault, request.session());
-      case Result.Success<Route>(Route found) -> guarded(request, key, found, deadline, body);
+      case Result.Failure(Fault fault) -> Answer.of(fault, request.session());
+      case Result.Success(Route found) -> guarded(request, key, found, deadline, body);
     };
   }
 
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/HttpAnswers.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/HttpAnswers.java
@@ -47,7 +47,6 @@
    */
   MutableHttpResponse<?> of(Answer answer) {
     String token = tokens.encode(answer.session());
-    AnswerStream stream = new AnswerStream(AnswerHead.of(answer, token), answer.rows());
     MutableHttpResponse<Object> response =
         HttpResponse.status(HttpStatus.valueOf(answer.code().httpStatus()));
     response.header(CallerHeaders.SESSION, token);
@@ -56,6 +55,7 @@
       response.header(HttpHeaders.RETRY_AFTER, String.valueOf(seconds));
     }
     response.contentType(MediaType.APPLICATION_JSON_TYPE);
+    AnswerStream stream = new AnswerStream(AnswerHead.of(answer, token), answer.rows());
     return isSmall(answer)
         ? response.body(bytes(stream))
         : response.body(new StreamedFile(stream, MediaType.APPLICATION_JSON_TYPE));
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Reads.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Reads.java
@@ -125,7 +125,7 @@
 
   private Result<LogPosition> latest(String group, Deadline deadline) {
     Result<LogPosition> latest = holders.floor(group, deadline.remainingMs());
-    return latest instanceof Result.Failure<LogPosition>(Fault fault) && !fault.isNotRun()
+    return latest instanceof Result.Failure(Fault fault) && !fault.isNotRun()
         ? Result.failure(ResultCode.PEER_UNREACHABLE, "the group's position is not known")
         : latest;
   }
@@ -148,7 +148,7 @@
       long attemptMs = attempts.attemptMs(true, deadline);
       Result<HeldAnswer> result =
           holders.execute(statement(route, call, rules, view, target, attemptMs));
-      if (result instanceof Result.Success<HeldAnswer>(HeldAnswer answer)) {
+      if (result instanceof Result.Success(HeldAnswer answer)) {
         return new Round.Answered(done(rules, answer));
       }
       last = ((Result.Failure<HeldAnswer>) result).fault();
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/RequestParser.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/RequestParser.java
@@ -19,6 +19,8 @@
   private final CallerLimits limits;
   private final BodyParser bodies;
 
+  private record Typed(Access access, String statement) {}
+
   /**
    * A statement in a transaction.
    *
@@ -73,8 +75,6 @@
                             statement(service, headers, fields, new Typed(access, statement))));
   }
 
-  private record Typed(Access access, String statement) {}
-
   private Result<StatementCall> statement(
       String service, CallerHeaders headers, StatementBody fields, Typed typed) {
     if (fields.maxAgeMs().isPresent() && typed.access() == Access.WRITE) {
@@ -181,6 +181,14 @@
     return session(headers, Optional.empty());
   }
 
+  private Result<SessionToken> session(CallerHeaders headers, Optional<Boolean> newSession) {
+    if (headers.session().isPresent()) {
+      return tokens.decode(headers.session().get());
+    }
+    return Result.success(
+        newSession.orElse(false) ? SessionToken.newSession() : SessionToken.empty());
+  }
+
   private Result<StepCall> call(
       String service, String transaction, CallerHeaders headers, Optional<Long> askedMs) {
     return timeoutMs(askedMs)
@@ -194,14 +202,6 @@
     return body.length == 0 ? NO_FIELDS : body;
   }
 
-  private Result<SessionToken> session(CallerHeaders headers, Optional<Boolean> newSession) {
-    if (headers.session().isPresent()) {
-      return tokens.decode(headers.session().get());
-    }
-    return Result.success(
-        newSession.orElse(false) ? SessionToken.newSession() : SessionToken.empty());
-  }
-
   private static Result<Optional<IdempotencyKey>> key(CallerHeaders headers) {
     return headers
         .key()
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Transactions.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Transactions.java
@@ -69,7 +69,7 @@
       }
       GroupView view = watch.view(route.groupName());
       Result<TransactionId> result = start(route, call, view, deadline);
-      if (result instanceof Result.Success<TransactionId>(TransactionId id)) {
+      if (result instanceof Result.Success(TransactionId id)) {
         return Answer.done(List.of(), call.session(), false, view.primary(), Optional.empty())
             .withTransaction(id.id());
       }
@@ -159,13 +159,13 @@
                 TransactionStep.Kind.COMMIT, Access.READ, "", key.map(IdempotencyKey::text)),
             deadline);
     return switch (result) {
-      case Result.Success<HeldAnswer>(HeldAnswer answer) -> {
+      case Result.Success(HeldAnswer answer) -> {
         SessionToken session =
             Sessions.afterCommit(
                 call.session(), route.groupName(), answer.position(), answer.replayed());
         yield done(route, answer, session);
       }
-      case Result.Failure<HeldAnswer>(Fault fault) ->
+      case Result.Failure(Fault fault) ->
           key.isEmpty()
               ? Answer.of(fault, call.session())
               : resolve(route, call, key.get().text(), fault, deadline);
@@ -195,8 +195,7 @@
     boolean transactionIsGone = fault.code() == ResultCode.UNKNOWN_TRANSACTION;
     Result<KeyAnswer> found = keys.ask(route.groupName(), key, transactionIsGone, deadline);
     return switch (found) {
-      case Result.Success<KeyAnswer>(KeyAnswer answer)
-          when answer.state() == KeyAnswer.State.RECORDED ->
+      case Result.Success(KeyAnswer answer) when answer.state() == KeyAnswer.State.RECORDED ->
           keys.answer(route.groupName(), call.session(), answer);
       case Result.Failure<KeyAnswer> unknown when transactionIsGone ->
           resolveUnknown(route, call, key, doubt(), deadline);
@@ -217,7 +216,7 @@
     while (!deadline.isOver()) {
       long term = watch.view(group).term();
       Result<KeyAnswer> found = keys.ask(group, key, asked > 0, deadline);
-      if (found instanceof Result.Success<KeyAnswer>(KeyAnswer answer)
+      if (found instanceof Result.Success(KeyAnswer answer)
           && answer.state() != KeyAnswer.State.ABSENT) {
         return keys.answer(group, call.session(), answer);
       }
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Writes.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Writes.java
@@ -67,7 +67,7 @@
       GroupView view = watch.view(route.groupName());
       long attemptMs = attempts.attemptMs(call.isResendable(), deadline);
       Result<HeldAnswer> result = attempt(route, call, view, attemptMs);
-      if (result instanceof Result.Success<HeldAnswer>(HeldAnswer answer)) {
+      if (result instanceof Result.Success(HeldAnswer answer)) {
         return done(route, call, answer);
       }
       Fault fault = ((Result.Failure<HeldAnswer>) result).fault();
--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorReadTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorReadTest.java
@@ -17,7 +17,7 @@
 class CoordinatorReadTest {
   private static final LogPosition OLD = new LogPosition(1, 3);
   private static final LogPosition LATEST = new LogPosition(1, 9);
-  private final CoordinatorFixture f = new CoordinatorFixture();
+  private final CoordinatorFixture fixture = new CoordinatorFixture();
 
   private static Result<HeldAnswer> row(HeldStatement statement) {
     return CoordinatorFixture.answered(statement.target(), LATEST, CoordinatorFixture.VIEW);
@@ -32,9 +32,9 @@
   }
 
   private HeldStatement asked(SessionToken session, Optional<Long> maxAgeMs) {
-    f.holders.onExecute = CoordinatorReadTest::row;
-    f.coordinator.execute(f.read(session, maxAgeMs));
-    return f.holders.statements.getFirst();
+    fixture.holders.onExecute = CoordinatorReadTest::row;
+    fixture.coordinator.execute(fixture.read(session, maxAgeMs));
+    return fixture.holders.statements.getFirst();
   }
 
   @Nested
@@ -70,23 +70,26 @@
 
     @Test
     void shouldBeKeptInTokenWhenTokenWasMissing() {
-      f.holders.onExecute = CoordinatorReadTest::row;
-      Answer answer = f.coordinator.execute(f.read(SessionToken.empty(), Optional.of(100L)));
+      fixture.holders.onExecute = CoordinatorReadTest::row;
+      Answer answer =
+          fixture.coordinator.execute(fixture.read(SessionToken.empty(), Optional.of(100L)));
       assertEquals(Optional.of(LATEST), answer.session().floor(CoordinatorFixture.GROUP));
       assertEquals(Optional.empty(), answer.session().floor("other"));
     }
 
     @Test
     void shouldRefuseWhenTokenIsMissingAndGroupCannotTell() {
-      f.holders.floor = Result.failure(ResultCode.MAJORITY_LOST, "scripted");
-      Answer answer = f.coordinator.execute(f.read(SessionToken.empty(), Optional.of(100L)));
+      fixture.holders.floor = Result.failure(ResultCode.MAJORITY_LOST, "scripted");
+      Answer answer =
+          fixture.coordinator.execute(fixture.read(SessionToken.empty(), Optional.of(100L)));
       assertEquals(ResultCode.MAJORITY_LOST, answer.code());
     }
 
     @Test
     void shouldSayNotRunWhenReplyOfFloorIsLost() {
-      f.holders.floor = Result.failure(ResultCode.UNKNOWN_OUTCOME, "scripted");
-      Answer answer = f.coordinator.execute(f.read(SessionToken.empty(), Optional.of(100L)));
+      fixture.holders.floor = Result.failure(ResultCode.UNKNOWN_OUTCOME, "scripted");
+      Answer answer =
+          fixture.coordinator.execute(fixture.read(SessionToken.empty(), Optional.of(100L)));
       assertEquals(Outcome.REFUSED_NOT_RUN, answer.code().outcome());
     }
   }
@@ -104,46 +107,47 @@
   class Order {
     @Test
     void shouldTryOwnDomainFirstAndPrimaryLast() {
-      f.holders.onExecute = s -> fault(ResultCode.NOT_FRESH);
-      f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      fixture.holders.onExecute = s -> fault(ResultCode.NOT_FRESH);
+      fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
       List<String> targets =
-          f.holders.statements.stream().map(HeldStatement::target).limit(3).toList();
+          fixture.holders.statements.stream().map(HeldStatement::target).limit(3).toList();
       assertEquals(List.of("t2", "t3", "t1"), targets);
     }
 
     @Test
     void shouldAnswerFromPrimaryWhenReplicasAreBehind() {
-      f.holders.onExecute = s -> s.target().equals("t1") ? row(s) : fault(ResultCode.NOT_FRESH);
-      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      fixture.holders.onExecute =
+          s -> s.target().equals("t1") ? row(s) : fault(ResultCode.NOT_FRESH);
+      Answer answer = fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
       assertEquals(Optional.of("t1"), answer.target());
     }
 
     @Test
     void shouldRefuseAtOnceWhenStatementIsInvalid() {
-      f.holders.onExecute = s -> fault(ResultCode.BAD_STATEMENT);
-      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      fixture.holders.onExecute = s -> fault(ResultCode.BAD_STATEMENT);
+      Answer answer = fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
       assertEquals(ResultCode.BAD_STATEMENT, answer.code());
-      assertEquals(1, f.holders.statements.size());
+      assertEquals(1, fixture.holders.statements.size());
     }
 
     @Test
     void shouldSayThatAgeIsNotProvenWhenPrimaryIsUnreachable() {
-      f.holders.onExecute =
+      fixture.holders.onExecute =
           s ->
               fault(
                   s.target().equals("t1")
                       ? ResultCode.TARGET_UNREACHABLE
                       : ResultCode.AGE_NOT_PROVEN);
-      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      Answer answer = fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
       assertEquals(ResultCode.AGE_NOT_PROVEN, answer.code());
     }
 
     @Test
     void shouldSayUnknownWhenOneAttemptMayHaveRun() {
-      f.holders.onExecute =
+      fixture.holders.onExecute =
           CoordinatorFixture.script(
               fault(ResultCode.UNKNOWN_OUTCOME), fault(ResultCode.QUEUE_FULL));
-      Answer answer = f.coordinator.execute(f.read(token(OLD), Optional.of(100L)));
+      Answer answer = fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
       assertEquals(Outcome.OUTCOME_UNKNOWN, answer.code().outcome());
     }
   }
--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorTransactionTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorTransactionTest.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.api.Test;
 
 class CoordinatorTransactionTest {
-  private final CoordinatorFixture f = new CoordinatorFixture();
+  private final CoordinatorFixture fixture = new CoordinatorFixture();
 
   private StepCall step() {
     return new StepCall(
@@ -27,7 +27,7 @@
   }
 
   private Answer commit() {
-    return f.coordinator.commit(step(), Optional.of(f.key()));
+    return fixture.coordinator.commit(step(), Optional.of(fixture.key()));
   }
 
   @Nested
@@ -38,15 +38,16 @@
 
     @Test
     void shouldAnswerIdentifierWhenOpen() {
-      assertEquals(Optional.of("vm-a:1"), f.coordinator.begin(call).transaction());
+      assertEquals(Optional.of("vm-a:1"), fixture.coordinator.begin(call).transaction());
     }
 
     @Test
     void shouldWaitForNewPrimaryWhenNoneIsKnown() {
-      f.watch.set(new GroupView(CoordinatorFixture.GROUP, 1, Optional.empty(), LogPosition.ORIGIN));
-      f.clock.afterMs(500, () -> f.watch.set(CoordinatorFixture.NEXT_VIEW));
-      f.holders.onBegin = start -> Result.success(new TransactionId("vm-a:" + start.term()));
-      assertEquals(Optional.of("vm-a:2"), f.coordinator.begin(call).transaction());
+      fixture.watch.set(
+          new GroupView(CoordinatorFixture.GROUP, 1, Optional.empty(), LogPosition.ORIGIN));
+      fixture.clock.afterMs(500, () -> fixture.watch.set(CoordinatorFixture.NEXT_VIEW));
+      fixture.holders.onBegin = start -> Result.success(new TransactionId("vm-a:" + start.term()));
+      assertEquals(Optional.of("vm-a:2"), fixture.coordinator.begin(call).transaction());
     }
   }
 
@@ -55,46 +56,47 @@
     @Test
     void shouldAnswerCommitPositionWhenDone() {
       LogPosition position = new LogPosition(1, 12);
-      f.holders.onStep = s -> CoordinatorFixture.answered("t1", position, CoordinatorFixture.VIEW);
+      fixture.holders.onStep =
+          s -> CoordinatorFixture.answered("t1", position, CoordinatorFixture.VIEW);
       assertEquals(Optional.of(position), commit().session().floor(CoordinatorFixture.GROUP));
     }
 
     @Test
     void shouldAnswerRecordedOutcomeWhenReplyIsLost() {
-      f.holders.onStep = s -> CoordinatorFixture.fault(ResultCode.UNKNOWN_OUTCOME);
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      fixture.holders.onStep = s -> CoordinatorFixture.fault(ResultCode.UNKNOWN_OUTCOME);
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
       Answer answer = commit();
       assertEquals(ResultCode.DONE, answer.code());
       assertTrue(answer.replayed());
-      assertEquals(1, f.holders.steps.size());
+      assertEquals(1, fixture.holders.steps.size());
     }
 
     @Test
     void shouldCancelWhenReplyIsLostAndLedgerHasNoRecord() {
-      f.holders.onStep = s -> CoordinatorFixture.fault(ResultCode.UNKNOWN_OUTCOME);
-      f.holders.onOutcome =
+      fixture.holders.onStep = s -> CoordinatorFixture.fault(ResultCode.UNKNOWN_OUTCOME);
+      fixture.holders.onOutcome =
           q ->
               CoordinatorFixture.state(
                   q.cancelIfAbsent() ? KeyAnswer.State.CANCELLED : KeyAnswer.State.ABSENT);
       assertEquals(ResultCode.CANCELLED, commit().code());
-      assertFalse(f.holders.queries.getFirst().cancelIfAbsent());
+      assertFalse(fixture.holders.queries.getFirst().cancelIfAbsent());
     }
 
     @Test
     void shouldAnswerRecordedOutcomeWhenCommitIsRepeated() {
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
       assertEquals(ResultCode.DONE, commit().code());
     }
 
     @Test
     void shouldSayUnknownWhenTransactionIsGoneAndLedgerIsUnreachable() {
       assertEquals(ResultCode.UNKNOWN_OUTCOME, commit().code());
-      assertEquals(1, f.coordinator.settler().size());
+      assertEquals(1, fixture.coordinator.settler().size());
     }
 
     @Test
     void shouldRefuseWithoutKeyWhenTransactionIsUnknown() {
-      Answer answer = f.coordinator.commit(step(), Optional.empty());
+      Answer answer = fixture.coordinator.commit(step(), Optional.empty());
       assertEquals(ResultCode.UNKNOWN_TRANSACTION, answer.code());
     }
   }
@@ -103,19 +105,20 @@
   class Outcome {
     @Test
     void shouldCarryTokenWhenRecorded() {
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
       Answer answer =
-          f.coordinator.outcome(
-              CoordinatorFixture.SERVICE, f.key(), SessionToken.newSession(), 1_000);
+          fixture.coordinator.outcome(
+              CoordinatorFixture.SERVICE, fixture.key(), SessionToken.newSession(), 1_000);
       assertEquals(
           Optional.of(new LogPosition(2, 3)), answer.session().floor(CoordinatorFixture.GROUP));
     }
 
     @Test
     void shouldProveNothingWhenNoRecordExists() {
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.ABSENT);
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.ABSENT);
       Answer answer =
-          f.coordinator.outcome(CoordinatorFixture.SERVICE, f.key(), SessionToken.empty(), 1_000);
+          fixture.coordinator.outcome(
+              CoordinatorFixture.SERVICE, fixture.key(), SessionToken.empty(), 1_000);
       assertEquals(ResultCode.KEY_NOT_FOUND, answer.code());
       assertEquals(io.lycheejunction.core.result.Outcome.OUTCOME_UNKNOWN, answer.code().outcome());
     }
--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorWriteTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorWriteTest.java
@@ -17,7 +17,7 @@
 
 class CoordinatorWriteTest {
   private static final LogPosition COMMIT = new LogPosition(2, 2);
-  private final CoordinatorFixture f = new CoordinatorFixture();
+  private final CoordinatorFixture fixture = new CoordinatorFixture();
 
   private Result<HeldAnswer> done() {
     return CoordinatorFixture.answered("t2", COMMIT, CoordinatorFixture.NEXT_VIEW);
@@ -31,8 +31,8 @@
   class WithoutKey {
     @Test
     void shouldAnswerCommitPositionWhenDone() {
-      f.holders.onExecute = s -> done();
-      Answer answer = f.coordinator.execute(f.write(Optional.empty()));
+      fixture.holders.onExecute = s -> done();
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.empty()));
       assertEquals(ResultCode.DONE, answer.code());
       assertEquals(List.of("row"), answer.rows());
       assertEquals(Optional.of(COMMIT), answer.session().floor(CoordinatorFixture.GROUP));
@@ -40,37 +40,37 @@
 
     @Test
     void shouldDispatchOnceWhenOutcomeIsUnknown() {
-      f.holders.onExecute = s -> fault(ResultCode.UNKNOWN_OUTCOME);
-      Answer answer = f.coordinator.execute(f.write(Optional.empty()));
+      fixture.holders.onExecute = s -> fault(ResultCode.UNKNOWN_OUTCOME);
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.empty()));
       assertEquals(ResultCode.UNKNOWN_OUTCOME, answer.code());
-      assertEquals(1, f.holders.statements.size());
-      assertEquals(0, f.clock.monotonicMs());
+      assertEquals(1, fixture.holders.statements.size());
+      assertEquals(0, fixture.clock.monotonicMs());
     }
 
     @Test
     void shouldWaitForNewPrimaryWhenOldOneIsGone() {
-      f.clock.afterMs(700, () -> f.watch.set(CoordinatorFixture.NEXT_VIEW));
-      f.holders.onExecute =
+      fixture.clock.afterMs(700, () -> fixture.watch.set(CoordinatorFixture.NEXT_VIEW));
+      fixture.holders.onExecute =
           s -> s.target().equals("t2") ? done() : fault(ResultCode.TARGET_UNREACHABLE);
-      Answer answer = f.coordinator.execute(f.write(Optional.empty()));
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.empty()));
       assertEquals(ResultCode.DONE, answer.code());
-      assertEquals(2, f.holders.statements.getLast().term());
+      assertEquals(2, fixture.holders.statements.getLast().term());
     }
 
     @Test
     void shouldGiveTrueRefusalAtDeadlineWhenMajorityStaysLost() {
-      f.holders.onExecute = s -> fault(ResultCode.MAJORITY_LOST);
-      Answer answer = f.coordinator.execute(f.write(Optional.empty()));
+      fixture.holders.onExecute = s -> fault(ResultCode.MAJORITY_LOST);
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.empty()));
       assertEquals(ResultCode.MAJORITY_LOST, answer.code());
-      assertEquals(CoordinatorFixture.TIMEOUT_MS, f.clock.monotonicMs());
+      assertEquals(CoordinatorFixture.TIMEOUT_MS, fixture.clock.monotonicMs());
     }
 
     @Test
     void shouldRefuseAtOnceWhenRefusalIsFinal() {
-      f.holders.onExecute = s -> fault(ResultCode.QUEUE_FULL);
-      Answer answer = f.coordinator.execute(f.write(Optional.empty()));
+      fixture.holders.onExecute = s -> fault(ResultCode.QUEUE_FULL);
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.empty()));
       assertEquals(ResultCode.QUEUE_FULL, answer.code());
-      assertEquals(0, f.clock.monotonicMs());
+      assertEquals(0, fixture.clock.monotonicMs());
     }
   }
 
@@ -78,41 +78,42 @@
   class WithKey {
     @Test
     void shouldResendWithSameKeyWhenOutcomeIsUnknown() {
-      f.holders.onExecute = CoordinatorFixture.script(fault(ResultCode.UNKNOWN_OUTCOME), done());
-      Answer answer = f.coordinator.execute(f.write(Optional.of(f.key())));
+      fixture.holders.onExecute =
+          CoordinatorFixture.script(fault(ResultCode.UNKNOWN_OUTCOME), done());
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.of(fixture.key())));
       assertEquals(ResultCode.DONE, answer.code());
-      assertEquals(2, f.holders.statements.size());
-      assertEquals(Optional.of(f.key().text()), f.holders.statements.getLast().key());
+      assertEquals(2, fixture.holders.statements.size());
+      assertEquals(Optional.of(fixture.key().text()), fixture.holders.statements.getLast().key());
     }
 
     @Test
     void shouldNotSayNotRunWhenAnEarlierAttemptIsUnknown() {
-      f.holders.onExecute =
+      fixture.holders.onExecute =
           CoordinatorFixture.script(
               fault(ResultCode.UNKNOWN_OUTCOME), fault(ResultCode.MAJORITY_LOST));
-      Answer answer = f.coordinator.execute(f.write(Optional.of(f.key())));
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.of(fixture.key())));
       assertEquals(Outcome.OUTCOME_UNKNOWN, answer.code().outcome());
-      assertEquals(1, f.coordinator.settler().size());
+      assertEquals(1, fixture.coordinator.settler().size());
     }
 
     @Test
     void shouldCancelKeyWhenResendIsRefusedForGood() {
-      f.holders.onExecute =
+      fixture.holders.onExecute =
           CoordinatorFixture.script(
               fault(ResultCode.UNKNOWN_OUTCOME), fault(ResultCode.QUEUE_FULL));
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.CANCELLED);
-      Answer answer = f.coordinator.execute(f.write(Optional.of(f.key())));
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.CANCELLED);
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.of(fixture.key())));
       assertEquals(ResultCode.CANCELLED, answer.code());
-      assertTrue(f.holders.queries.getFirst().cancelIfAbsent());
+      assertTrue(fixture.holders.queries.getFirst().cancelIfAbsent());
     }
 
     @Test
     void shouldAnswerRecordedRowsWhenRefusedResendHadRun() {
-      f.holders.onExecute =
+      fixture.holders.onExecute =
           CoordinatorFixture.script(
               fault(ResultCode.UNKNOWN_OUTCOME), fault(ResultCode.QUEUE_FULL));
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
-      Answer answer = f.coordinator.execute(f.write(Optional.of(f.key())));
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.of(fixture.key())));
       assertEquals(ResultCode.DONE, answer.code());
       assertEquals(List.of("old"), answer.rows());
       assertTrue(answer.replayed());
@@ -120,14 +121,15 @@
 
     @Test
     void shouldRefuseWithoutDispatchWhenKeyIsExpired() {
-      f.holders.onExecute = s -> done();
-      f.clock.advanceMs(CallerLimits.defaults().retention().maxAgeMs() + 1);
+      fixture.holders.onExecute = s -> done();
+      fixture.clock.advanceMs(CallerLimits.defaults().retention().maxAgeMs() + 1);
       StatementCall call =
-          f.write(
+          fixture.write(
               Optional.of(
-                  new IdempotencyKey(f.key().text(), f.clock.wallMs() - f.clock.monotonicMs())));
-      assertEquals(ResultCode.KEY_EXPIRED, f.coordinator.execute(call).code());
-      assertTrue(f.holders.statements.isEmpty());
+                  new IdempotencyKey(
+                      fixture.key().text(), fixture.clock.wallMs() - fixture.clock.monotonicMs())));
+      assertEquals(ResultCode.KEY_EXPIRED, fixture.coordinator.execute(call).code());
+      assertTrue(fixture.holders.statements.isEmpty());
     }
   }
 
@@ -135,14 +137,14 @@
   class Settle {
     @Test
     void shouldKeepKeyUntilLedgerAnswers() {
-      f.holders.onExecute = s -> fault(ResultCode.UNKNOWN_OUTCOME);
-      f.coordinator.execute(f.write(Optional.of(f.key())));
-      f.coordinator.settler().settle();
-      assertEquals(1, f.coordinator.settler().size());
-      f.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
-      f.coordinator.settler().settle();
-      assertEquals(0, f.coordinator.settler().size());
-      assertTrue(f.holders.queries.getLast().cancelIfAbsent());
+      fixture.holders.onExecute = s -> fault(ResultCode.UNKNOWN_OUTCOME);
+      fixture.coordinator.execute(fixture.write(Optional.of(fixture.key())));
+      fixture.coordinator.settler().settle();
+      assertEquals(1, fixture.coordinator.settler().size());
+      fixture.holders.onOutcome = q -> CoordinatorFixture.state(KeyAnswer.State.RECORDED);
+      fixture.coordinator.settler().settle();
+      assertEquals(0, fixture.coordinator.settler().size());
+      assertTrue(fixture.holders.queries.getLast().cancelIfAbsent());
     }
   }
 
@@ -150,24 +152,24 @@
   class Failures {
     @Test
     void shouldSayUnknownWhenHoldersThrow() {
-      f.holders.onExecute =
+      fixture.holders.onExecute =
           s -> {
             throw new IllegalStateException("scripted");
           };
-      Answer answer = f.coordinator.execute(f.write(Optional.of(f.key())));
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.of(fixture.key())));
       assertEquals(ResultCode.INTERNAL_UNKNOWN, answer.code());
-      assertEquals(0, f.coordinator.inFlight().size());
-      assertEquals(1, f.coordinator.settler().size());
+      assertEquals(0, fixture.coordinator.inFlight().size());
+      assertEquals(1, fixture.coordinator.settler().size());
     }
 
     @Test
     void shouldRefuseWhenShuttingDown() {
-      f.coordinator.inFlight().close();
-      Answer answer = f.coordinator.execute(f.write(Optional.empty()));
+      fixture.coordinator.inFlight().close();
+      Answer answer = fixture.coordinator.execute(fixture.write(Optional.empty()));
       assertEquals(ResultCode.SHUTTING_DOWN, answer.code());
       assertEquals(
           List.of(new Refusals.Count(CoordinatorFixture.SERVICE, ResultCode.SHUTTING_DOWN, 1)),
-          f.coordinator.refusals().counts());
+          fixture.coordinator.refusals().counts());
     }
   }
 }
