Add the operators' language, the configuration log, membership and lycheejunctionctl

Cause: the proxies had no configuration, did not know each other and took no statements from operators. Change: a parser-combinator grammar with printer and tables; changes as rows of an only-if-absent log, applied in order and relayed in heartbeats; membership from the platform's list and heartbeats; the operators' endpoint, the shutdown path and lycheejunctionctl.

--- /dev/null
+++ b/common/src/main/java/io/lycheejunction/common/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The messages between operators' programs and proxies. */
+package io.lycheejunction.common.operator;
--- a/core/src/main/java/io/lycheejunction/core/configuration/Configuration.java
+++ b/core/src/main/java/io/lycheejunction/core/configuration/Configuration.java
@@ -58,4 +58,14 @@
   public Optional<GroupSpec> groupOf(ServiceSpec service) {
     return group(service.group());
   }
+
+  /**
+   * Returns the group that a target belongs to.
+   *
+   * @param target the name of the target
+   * @return the group, or empty if no group has the target
+   */
+  public Optional<GroupSpec> groupWith(String target) {
+    return groups.values().stream().filter(g -> g.target(target).isPresent()).findFirst();
+  }
 }
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/language/Input.java
@@ -0,0 +1,18 @@
+package io.lycheejunction.core.language;
+
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * A statement with its condition.
+ *
+ * @param statement the statement
+ * @param ifVersion the version that the configuration must have, if any
+ */
+public record Input(Statement statement, Optional<Long> ifVersion) {
+  /** Rejects null components. */
+  public Input {
+    Objects.requireNonNull(statement, "statement is null");
+    Objects.requireNonNull(ifVersion, "ifVersion is null");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/language/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' language: statements, their parser and printer, and tables of answers. */
+package io.lycheejunction.core.language;
--- /dev/null
+++ b/ctl/src/main/java/io/lycheejunction/ctl/HttpProxies.java
@@ -0,0 +1,24 @@
+package io.lycheejunction.ctl;
+
+import io.lycheejunction.common.http.HttpCaller;
+import io.lycheejunction.common.http.HttpReply;
+import java.util.List;
+import java.util.Objects;
+
+/** Sends requests to proxies by HTTP. */
+final class HttpProxies implements Proxies {
+  private static final String PATH = "/v1/operator";
+
+  private final HttpCaller http;
+  private final long timeoutMs;
+
+  HttpProxies(HttpCaller http, long timeoutMs) {
+    this.http = Objects.requireNonNull(http, "http is null");
+    this.timeoutMs = timeoutMs;
+  }
+
+  @Override
+  public HttpReply send(String address, String body) {
+    return http.send("POST", address, PATH, body, List.of(), timeoutMs);
+  }
+}
--- /dev/null
+++ b/ctl/src/main/java/io/lycheejunction/ctl/Runner.java
@@ -0,0 +1,95 @@
+package io.lycheejunction.ctl;
+
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.common.operator.OperatorRequest;
+import io.lycheejunction.core.language.Input;
+import io.lycheejunction.core.language.OperatorLanguage;
+import io.lycheejunction.core.language.OperatorLanguage.Parsed;
+import io.lycheejunction.core.language.Statement;
+import io.lycheejunction.core.language.SyntaxError;
+import io.lycheejunction.core.result.Outcome;
+import java.io.PrintStream;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Runs one statement and prints its answer. */
+final class Runner {
+  static final int EXIT_DONE = 0;
+  static final int EXIT_REFUSED = 1;
+  static final int EXIT_UNKNOWN = 3;
+
+  private final Client client;
+  private final Options options;
+  private final PrintStream out;
+  private final PrintStream err;
+
+  Runner(Client client, Options options, PrintStream out, PrintStream err) {
+    this.client = Objects.requireNonNull(client, "client is null");
+    this.options = Objects.requireNonNull(options, "options is null");
+    this.out = Objects.requireNonNull(out, "out is null");
+    this.err = Objects.requireNonNull(err, "err is null");
+  }
+
+  /**
+   * Returns the exit code of a statement after its answer is printed.
+   *
+   * @param text the statement
+   * @return the exit code
+   */
+  int run(String text) {
+    return switch (OperatorLanguage.parse(text)) {
+      case Parsed.Complete(Input input) -> send(text, input.statement());
+      case Parsed.Wrong(SyntaxError error) -> {
+        printError(text, error);
+        yield EXIT_REFUSED;
+      }
+    };
+  }
+
+  private void printError(String text, SyntaxError error) {
+    err.println(text);
+    err.println(" ".repeat(error.column() - 1) + "^");
+    err.println(error.describe());
+  }
+
+  private int send(String text, Statement statement) {
+    boolean isChange = statement instanceof Statement.Submit;
+    Optional<String> id =
+        isChange ? options.changeId().or(() -> Optional.of(options.ids().get())) : Optional.empty();
+    OperatorRequest request =
+        new OperatorRequest(
+            text, options.ifVersion(), id, options.dryRun(), options.awaitRollout());
+    boolean repeatable = isChange || options.dryRun() || isQuery(statement);
+    OperatorReply reply = client.ask(request, repeatable);
+    print(reply);
+    return exitCode(reply.outcome());
+  }
+
+  private static boolean isQuery(Statement statement) {
+    return statement instanceof Statement.Show || statement instanceof Statement.ShowChange;
+  }
+
+  private void print(OperatorReply reply) {
+    if (options.json()) {
+      out.println(Json.write(reply));
+      return;
+    }
+    if (reply.outcome() == Outcome.DONE) {
+      out.print(reply.text().endsWith("\n") ? reply.text() : reply.text() + "\n");
+      return;
+    }
+    err.println(reply.code() + " " + reply.name() + ": " + reply.text());
+    if (reply.outcome() == Outcome.OUTCOME_UNKNOWN && reply.changeId().isPresent()) {
+      err.println("settle it with: show change " + reply.changeId().get());
+    }
+  }
+
+  private static int exitCode(Outcome outcome) {
+    return switch (outcome) {
+      case DONE -> EXIT_DONE;
+      case REFUSED_NOT_RUN -> EXIT_REFUSED;
+      case OUTCOME_UNKNOWN -> EXIT_UNKNOWN;
+    };
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/configuration/Snapshot.java
@@ -0,0 +1,23 @@
+package io.lycheejunction.proxy.configuration;
+
+import io.lycheejunction.core.configuration.Configuration;
+import java.util.List;
+import java.util.Objects;
+
+/**
+ * The configuration at one version, with the identifiers of the latest changes.
+ *
+ * @param schema the version of the format
+ * @param configuration the configuration
+ * @param latest the latest changes, oldest first
+ */
+public record Snapshot(int schema, Configuration configuration, List<ChangeId> latest) {
+  /** The format that this program writes and reads. */
+  public static final int SCHEMA = 1;
+
+  /** Rejects null components and copies the list. */
+  public Snapshot {
+    Objects.requireNonNull(configuration, "configuration is null");
+    latest = List.copyOf(latest);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Operator.java
@@ -0,0 +1,248 @@
+package io.lycheejunction.proxy.operator;
+
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.common.operator.OperatorRequest;
+import io.lycheejunction.core.configuration.Change;
+import io.lycheejunction.core.configuration.Configuration;
+import io.lycheejunction.core.configuration.ConfigurationRules;
+import io.lycheejunction.core.configuration.GroupSpec;
+import io.lycheejunction.core.language.Input;
+import io.lycheejunction.core.language.OperatorLanguage;
+import io.lycheejunction.core.language.Statement;
+import io.lycheejunction.core.port.PeerTransport;
+import io.lycheejunction.core.port.Vm;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.proxy.configuration.ChangeId;
+import io.lycheejunction.proxy.configuration.ChangeRequest;
+import io.lycheejunction.proxy.configuration.ConfigurationWriter;
+import io.lycheejunction.proxy.forward.PeerRoutes;
+import io.lycheejunction.proxy.membership.Membership;
+import io.lycheejunction.proxy.membership.VmListPoll;
+import io.micronaut.http.HttpStatus;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/** Runs the statements of operators. */
+public final class Operator {
+  /** The path on which a proxy is asked to shut down. */
+  public static final String SHUTDOWN_PATH = "/peer/shutdown";
+
+  private static final long SHUTDOWN_TIMEOUT_MS = 2_000;
+  private static final int MAX_BODY_CHARS = 32_768;
+
+  private final Services services;
+  private final Tables tables;
+  private final Rollout rollout;
+
+  /**
+   * What the statements act on.
+   *
+   * @param writer writes changes
+   * @param membership the proxies
+   * @param list tells holders of leaving targets
+   * @param transport sends messages to proxies
+   * @param promotion promotes targets
+   * @param shutdown shuts this proxy down
+   * @param ids gives identifiers for changes that come without one
+   */
+  public record Services(
+      ConfigurationWriter writer,
+      Membership membership,
+      VmListPoll list,
+      PeerTransport transport,
+      Promotion promotion,
+      Shutdown shutdown,
+      Supplier<String> ids) {
+    /** Rejects null components. */
+    public Services {
+      Objects.requireNonNull(writer, "writer is null");
+      Objects.requireNonNull(membership, "membership is null");
+      Objects.requireNonNull(list, "list is null");
+      Objects.requireNonNull(transport, "transport is null");
+      Objects.requireNonNull(promotion, "promotion is null");
+      Objects.requireNonNull(shutdown, "shutdown is null");
+      Objects.requireNonNull(ids, "ids is null");
+    }
+  }
+
+  /**
+   * Creates the endpoint and adds its handler for other proxies.
+   *
+   * @param services what the statements act on
+   * @param tables the tables of {@code show} statements
+   * @param rollout tells where a version is in force
+   * @param routes receives the handler
+   */
+  Operator(Services services, Tables tables, Rollout rollout, PeerRoutes routes) {
+    this.services = Objects.requireNonNull(services, "services is null");
+    this.tables = Objects.requireNonNull(tables, "tables is null");
+    this.rollout = Objects.requireNonNull(rollout, "rollout is null");
+    routes.add(SHUTDOWN_PATH, ShutdownOrder.class, this::receiveShutdown);
+  }
+
+  /**
+   * Asks a proxy to shut down.
+   *
+   * @param proxy the name of its entry VM
+   */
+  record ShutdownOrder(String proxy) {
+    /** Rejects a null name. */
+    ShutdownOrder {
+      Objects.requireNonNull(proxy, "proxy is null");
+    }
+  }
+
+  private static OperatorReply refused(Fault fault) {
+    return OperatorReply.failed(fault, Optional.empty());
+  }
+
+  static HttpStatus status(OperatorReply reply) {
+    return HttpStatus.valueOf(ResultCode.valueOf(reply.name()).httpStatus());
+  }
+
+  /**
+   * Returns the answer to a request.
+   *
+   * @param body the JSON text of the request
+   * @return the answer
+   */
+  OperatorReply answer(String body) {
+    if (body.length() > MAX_BODY_CHARS) {
+      return refused(
+          Fault.of(
+              ResultCode.BODY_TOO_LARGE,
+              body.length() + " characters; allowed: " + MAX_BODY_CHARS));
+    }
+    return Json.read(body, OperatorRequest.class).fold(Operator::refused, this::answer);
+  }
+
+  /**
+   * Returns the answer to a request.
+   *
+   * @param request the request
+   * @return the answer
+   */
+  public OperatorReply answer(OperatorRequest request) {
+    return OperatorLanguage.read(request.command())
+        .fold(Operator::refused, input -> run(request, input));
+  }
+
+  private OperatorReply run(OperatorRequest request, Input input) {
+    return switch (input.statement()) {
+      case Statement.Show show -> show(show);
+      case Statement.ShowChange(String id) -> showChange(id);
+      case Statement.Submit(Change change) -> {
+        Optional<Long> ifVersion = input.ifVersion().or(request::ifVersion);
+        yield request.dryRun() ? preview(change, ifVersion) : submit(request, change, ifVersion);
+      }
+      case Statement.Shutdown(String proxy) ->
+          request.dryRun()
+              ? OperatorReply.done("would shut down " + proxy)
+              : result(shutdown(proxy));
+      case Statement.Promote(String target) -> promote(target, request.dryRun());
+    };
+  }
+
+  private static OperatorReply result(Result<String> result) {
+    return result.fold(Operator::refused, OperatorReply::done);
+  }
+
+  private OperatorReply show(Statement.Show show) {
+    return tables
+        .find(show.subject())
+        .map(table -> table.select(show))
+        .orElseGet(
+            () -> Result.failure(ResultCode.BAD_VALUE, "this proxy has no table " + show.subject()))
+        .fold(Operator::refused, table -> OperatorReply.shown(table.toText(), TableJson.of(table)));
+  }
+
+  private OperatorReply showChange(String id) {
+    return services
+        .writer()
+        .find(id)
+        .fold(
+            fault -> OperatorReply.failed(fault, Optional.of(id)), found -> accepted(found, false));
+  }
+
+  private OperatorReply accepted(ChangeId change, boolean wait) {
+    Reach reach = wait ? rollout.await(change.version()) : rollout.reach(change.version());
+    return OperatorReply.accepted(
+        "change %s accepted as version %d; %s"
+            .formatted(change.id(), change.version(), reach.describe()),
+        change.id(),
+        change.version(),
+        reach.inForce(),
+        reach.notReached());
+  }
+
+  private OperatorReply submit(OperatorRequest request, Change change, Optional<Long> ifVersion) {
+    String id = request.changeId().orElseGet(services.ids());
+    Result<ChangeId> written = services.writer().submit(new ChangeRequest(id, change, ifVersion));
+    if (change instanceof Change.DrainTarget(String target, boolean drained) && drained) {
+      services.list().tellHolder(target);
+    }
+    return written.fold(
+        fault -> OperatorReply.failed(fault, Optional.of(id)),
+        accepted -> accepted(accepted, request.awaitRollout()));
+  }
+
+  private OperatorReply preview(Change change, Optional<Long> ifVersion) {
+    Configuration before = services.writer().current();
+    if (ifVersion.isPresent() && ifVersion.get() != before.version()) {
+      return refused(
+          Fault.of(
+              ResultCode.VERSION_CONFLICT, "the configuration is at version " + before.version()));
+    }
+    return ConfigurationRules.apply(before, change)
+        .fold(Operator::refused, after -> OperatorReply.done(Effect.describe(before, after)));
+  }
+
+  private Result<String> shutdown(String proxy) {
+    if (proxy.equals(services.membership().self().name())) {
+      return begin();
+    }
+    Optional<Vm> vm = services.membership().find(proxy);
+    return vm.isEmpty()
+        ? Result.failure(ResultCode.BAD_VALUE, "no proxy " + proxy)
+        : services
+            .transport()
+            .call(
+                vm.get(),
+                SHUTDOWN_PATH,
+                new ShutdownOrder(proxy),
+                String.class,
+                SHUTDOWN_TIMEOUT_MS);
+  }
+
+  private Result<String> receiveShutdown(ShutdownOrder order) {
+    String self = services.membership().self().name();
+    return order.proxy().equals(self)
+        ? begin()
+        : Result.failure(ResultCode.NOT_HOLDER, "this is " + self);
+  }
+
+  private Result<String> begin() {
+    String self = services.membership().self().name();
+    boolean first = services.shutdown().begin("operator");
+    String waiting = services.shutdown().waitingFor();
+    return Result.success(
+        self
+            + (first ? " is shutting down" : " is shutting down already")
+            + (waiting.isEmpty() ? "" : "; waiting for " + waiting));
+  }
+
+  private OperatorReply promote(String target, boolean dryRun) {
+    Optional<GroupSpec> group = services.writer().current().groupWith(target);
+    if (group.isEmpty()) {
+      return refused(Fault.of(ResultCode.BAD_VALUE, "no target " + target));
+    }
+    String name = group.get().name();
+    return dryRun
+        ? OperatorReply.done("would promote " + target + " to the primary of " + name)
+        : result(services.promotion().promote(name, target));
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/package-info.java
@@ -0,0 +1,2 @@
+/** The operators' endpoint and the graceful shutdown. */
+package io.lycheejunction.proxy.operator;
