--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -1,13 +1,23 @@
 package io.lycheejunction.bench;
 
+import io.lycheejunction.bench.demo.DemoBench;
+import io.lycheejunction.bench.demo.PlanBench;
+import io.lycheejunction.common.clock.SystemRuntimeClock;
+import io.lycheejunction.common.http.HttpCaller;
 import io.lycheejunction.common.settings.Program;
 import io.lycheejunction.common.settings.Settings;
 import java.util.List;
+import java.util.Optional;
+import java.util.stream.Collectors;
 
 /** Starts {@code lycheejunction-bench}. */
 public final class BenchMain {
+  private static final int EXIT_INTERRUPTED = 1;
+  private static final HttpCaller HTTP = HttpCaller.plain(Optional.empty());
+  private static final List<Bench> BENCHES =
+      List.of(new PlanBench(HTTP), new DemoBench(HTTP, new SystemRuntimeClock()));
   private static final Program PROGRAM =
-      new Program("lycheejunction-bench", "[flags] BENCH", List.of());
+      new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
   private BenchMain() {}
 
@@ -21,6 +31,21 @@
   }
 
   private static int run(Settings settings) {
-    return 0;
+    String name = settings.arguments().isEmpty() ? "" : settings.arguments().getFirst();
+    Optional<Bench> bench = BENCHES.stream().filter(b -> b.name().equals(name)).findFirst();
+    if (bench.isEmpty()) {
+      System.err.println("lycheejunction-bench: name one of " + names(", "));
+      return Program.EXIT_BAD_SETTINGS;
+    }
+    try {
+      return bench.get().run(settings);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+      return EXIT_INTERRUPTED;
+    }
+  }
+
+  private static String names(String separator) {
+    return BENCHES.stream().map(Bench::name).collect(Collectors.joining(separator));
   }
 }
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/demo/PlanBench.java
@@ -0,0 +1,89 @@
+package io.lycheejunction.bench.demo;
+
+import io.lycheejunction.bench.Bench;
+import io.lycheejunction.bench.BenchSettings;
+import io.lycheejunction.bench.load.PlatformClient;
+import io.lycheejunction.common.http.HttpCaller;
+import io.lycheejunction.common.settings.Settings;
+import io.lycheejunction.core.configuration.TargetSpec;
+import io.lycheejunction.core.port.Vm;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.stream.Collectors;
+
+/**
+ * Registers the entry VMs with the stand-in and prints the operators' commands that bring its
+ * groups into the configuration.
+ */
+public final class PlanBench implements Bench {
+  /** The name of the service of a group is this prefix and the group's name. */
+  static final String SERVICE_PREFIX = "orders-";
+
+  private final HttpCaller http;
+
+  /**
+   * Creates the bench.
+   *
+   * @param http the HTTP client
+   */
+  public PlanBench(HttpCaller http) {
+    this.http = Objects.requireNonNull(http, "http is null");
+  }
+
+  @Override
+  public String name() {
+    return "plan";
+  }
+
+  @Override
+  public int run(Settings settings) {
+    PlatformClient platform = new PlatformClient(http, settings.text(BenchSettings.PLATFORM));
+    vms(settings).forEach(platform::register);
+    for (PlatformClient.Group group : platform.groups()) {
+      System.out.println(createGroup(group));
+      System.out.println(createService(group));
+    }
+    return 0;
+  }
+
+  private static List<Vm> vms(Settings settings) {
+    return BenchSettings.list(settings, BenchSettings.VMS).stream().map(PlanBench::vm).toList();
+  }
+
+  private static Vm vm(String text) {
+    String[] parts = text.split("=", 3);
+    if (parts.length < 3) {
+      throw new IllegalArgumentException("not NAME=DOMAIN=IP:PORT: " + text);
+    }
+    return new Vm(parts[0], Vm.Kind.ENTRY, parts[1], parts[2], false);
+  }
+
+  private static String createGroup(PlatformClient.Group group) {
+    String targets =
+        group.targets().stream().map(PlanBench::target).collect(Collectors.joining(", "));
+    return "create group %s targets (%s) slots %d connections %d"
+        .formatted(group.name(), targets, group.slots(), group.connections());
+  }
+
+  private static String target(TargetSpec target) {
+    return "%s in %s at %s".formatted(target.name(), target.failureDomain(), target.address());
+  }
+
+  private static String createService(PlatformClient.Group group) {
+    return "create service %s%s on %s with durability=majority, max_age=2s"
+        .formatted(SERVICE_PREFIX, group.name(), group.name());
+  }
+
+  /**
+   * Returns the group of a service that this bench has planned.
+   *
+   * @param service the name of the service
+   * @return the name of the group, or empty if the service has another kind of name
+   */
+  static Optional<String> groupOf(String service) {
+    return service.startsWith(SERVICE_PREFIX)
+        ? Optional.of(service.substring(SERVICE_PREFIX.length()))
+        : Optional.empty();
+  }
+}
--- a/bench/src/main/java/io/lycheejunction/bench/load/Clerk.java
+++ b/bench/src/main/java/io/lycheejunction/bench/load/Clerk.java
@@ -8,7 +8,6 @@
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.function.Predicate;
 
 /**
  * A caller with one session that roams between proxies: it places orders, reads its own and reads
@@ -24,7 +23,7 @@
   private final Balancer balancer;
   private final OrderBook book;
   private final Tally tally;
-  private final Predicate<String> isPrimary;
+  private final Primaries primaries;
   private final RuntimeClock clock;
   private final Random random;
   private final UuidV7 ids;
@@ -40,7 +39,7 @@
    * @param balancer chooses the proxy of each statement
    * @param book remembers its orders
    * @param tally counts and times its statements
-   * @param isPrimary tells whether a target is a primary now
+   * @param primaries remembers which targets acknowledged writes
    * @param clock the runtime clock
    * @param random the seeded source of its choices
    */
@@ -51,7 +50,7 @@
       Balancer balancer,
       OrderBook book,
       Tally tally,
-      Predicate<String> isPrimary,
+      Primaries primaries,
       RuntimeClock clock,
       Random random) {
     this.service = Objects.requireNonNull(service, "service is null");
@@ -60,7 +59,7 @@
     this.balancer = Objects.requireNonNull(balancer, "balancer is null");
     this.book = Objects.requireNonNull(book, "book is null");
     this.tally = Objects.requireNonNull(tally, "tally is null");
-    this.isPrimary = Objects.requireNonNull(isPrimary, "isPrimary is null");
+    this.primaries = Objects.requireNonNull(primaries, "primaries is null");
     this.clock = Objects.requireNonNull(clock, "clock is null");
     this.random = Objects.requireNonNull(random, "random is null");
     this.ids = new UuidV7(random);
@@ -109,6 +108,7 @@
         fate = Order.Fate.ACKNOWLEDGED;
         target = answer.target();
         tally.wrote(micros);
+        primaries.acknowledged(service, target);
         own.add(id);
         keep(answer);
       }
@@ -142,7 +142,7 @@
     CallerReply reply = send(Statement.read(service, text, token, maxAgeMs, mix.timeoutMs()));
     long micros = TimeUnit.NANOSECONDS.toMicros(System.nanoTime() - startNs);
     if (reply instanceof CallerReply.Answer answer && answer.isDone()) {
-      tally.read(micros, !isPrimary.test(answer.target()));
+      tally.read(micros, !primaries.isPrimary(service, answer.target()));
       if (answer.rows().isEmpty()) {
         tally.stale();
       }
