--- a/proxy/src/main/java/io/lycheejunction/proxy/group/VirtualThreadFanout.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/VirtualThreadFanout.java
@@ -5,7 +5,7 @@
 import java.util.function.BooleanSupplier;
 
 /** Runs each task on a virtual thread of its own. */
-final class VirtualThreadFanout implements Fanout {
+public final class VirtualThreadFanout implements Fanout {
 
   @Override
   public void run(List<Runnable> tasks, BooleanSupplier isEnough) {
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/target/package-info.java
@@ -0,0 +1,2 @@
+/** The adapter that reaches targets by HTTP with JSON. */
+package io.lycheejunction.proxy.target;
