--- a/standin/src/main/java/io/lycheejunction/standin/model/GroupModel.java
+++ b/standin/src/main/java/io/lycheejunction/standin/model/GroupModel.java
@@ -8,6 +8,7 @@
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -331,7 +332,7 @@
       settle();
       return instances.values().stream()
           .filter(instance -> instance.role == Role.PRIMARY && instance.isRunning())
-          .max(java.util.Comparator.comparingLong(instance -> instance.term))
+          .max(Comparator.comparingLong(instance -> instance.term))
           .map(instance -> instance.spec.name());
     }
   }
--- a/standin/src/main/java/io/lycheejunction/standin/model/Replication.java
+++ b/standin/src/main/java/io/lycheejunction/standin/model/Replication.java
@@ -53,6 +53,7 @@
   }
 
   private void restart(long nowMs) {
+    streams.sort(Comparator.comparingLong((Stream s) -> s.from.term).reversed());
     for (Stream stream : streams) {
       boolean up = isUp(stream);
       stream.lagMs =
@@ -75,7 +76,6 @@
 
   private boolean deliver(long nowMs) {
     boolean demoted = false;
-    streams.sort(Comparator.comparingLong((Stream s) -> s.from.term).reversed());
     for (Stream stream : streams) {
       demoted |= stream.up && stream.from.role == Role.PRIMARY && push(stream, nowMs);
     }
--- a/standin/src/main/java/io/lycheejunction/standin/model/Statement.java
+++ b/standin/src/main/java/io/lycheejunction/standin/model/Statement.java
@@ -2,9 +2,13 @@
 
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import java.util.Locale;
+import java.util.regex.Pattern;
 
 /** A parsed statement of the stand-in's small language. */
 sealed interface Statement {
+  /** The separator of words. */
+  Pattern SPACES = Pattern.compile("\\s+");
 
   /** A statement that changes one key of a ledger. */
   sealed interface Write extends Statement {
@@ -41,8 +45,8 @@
    * @return the statement, or {@code BAD_STATEMENT}
    */
   static Result<Statement> parse(String text) {
-    String[] words = text.strip().split("\\s+", 4);
-    String shape = words[0].toLowerCase(java.util.Locale.ROOT) + "/" + words.length;
+    String[] words = SPACES.split(text.strip(), 4);
+    String shape = words[0].toLowerCase(Locale.ROOT) + "/" + words.length;
     return switch (shape) {
       case "put/4" -> Result.success(new Put(words[1], words[2], words[3]));
       case "append/4" -> Result.success(new Append(words[1], words[2], words[3]));
