Serve statements on the whole path with six proxies

Cause: the parts of a proxy were built apart and nothing joined them. Change: the supervisor tree joins platform, configuration, membership, group, holder, forward, caller and operator; SIGTERM and the operators' shutdown are one path; the demonstration starts the stand-in and six proxies as processes. Conclusion: the path holds under a crash and a shutdown; times need a quiet machine.

--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyMain.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyMain.java
@@ -4,12 +4,18 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.common.settings.Program;
 import io.lycheejunction.common.settings.Settings;
-import io.lycheejunction.proxy.supervisor.Supervisor;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.session.TokenCodec;
+import io.lycheejunction.proxy.caller.CallerSettings;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import sun.misc.Signal;
 
 /** Starts {@code lycheejunction-proxy}. */
 public final class ProxyMain {
   private static final EventLog LOG = EventLog.of(ProxyMain.class);
   private static final int EXIT_FAILED = 1;
+  private static final List<String> SIGNALS = List.of("TERM", "INT");
   private static final Program PROGRAM =
       new Program("lycheejunction-proxy", "[flags]", ProxySettings.ALL);
 
@@ -25,17 +31,41 @@
   }
 
   private static int run(Settings settings) {
-    Supervisor tree = ProxyTree.of(ProxySettings.of(settings), new SystemRuntimeClock());
+    byte[] key = settings.text(CallerSettings.SESSION_KEY).getBytes(StandardCharsets.UTF_8);
+    return TokenCodec.of(key).fold(ProxyMain::badKey, tokens -> serve(settings, tokens));
+  }
+
+  private static int badKey(Fault fault) {
+    System.err.println("lycheejunction-proxy: LYCHEEJUNCTION_SESSION_KEY: " + fault.detail());
+    return Program.EXIT_BAD_SETTINGS;
+  }
+
+  private static int serve(Settings settings, TokenCodec tokens) {
+    ProxySettings own = ProxySettings.of(settings);
+    ProxyTree tree = ProxyTree.of(own, tokens, new SystemRuntimeClock());
+    SIGNALS.forEach(
+        name -> Signal.handle(new Signal(name), signal -> tree.shutdown().begin("SIG" + name)));
     try {
-      tree.start();
-      LOG.info("proxy_started", "vm", settings.text(ProxySettings.VM));
-      tree.watch();
-      return EXIT_FAILED;
+      tree.root().start();
+      LOG.info("proxy_started", "vm", own.vm(), "listen", own.listen());
+      Thread.ofVirtual().name("supervisor").start(() -> watch(tree));
+      tree.shutdown().awaitDrained();
+      return tree.root().isHealthy() ? 0 : EXIT_FAILED;
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
-      return 0;
+      return EXIT_FAILED;
     } finally {
-      tree.stop();
+      tree.root().stop();
+      LOG.info("proxy_stopped", "vm", own.vm());
+    }
+  }
+
+  private static void watch(ProxyTree tree) {
+    try {
+      tree.root().watch();
+      tree.shutdown().begin("restart budget spent");
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
     }
   }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
@@ -2,8 +2,12 @@
 
 import io.lycheejunction.common.settings.Setting;
 import io.lycheejunction.common.settings.Settings;
+import io.lycheejunction.proxy.caller.CallerLimits;
+import io.lycheejunction.proxy.caller.CallerSettings;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
+import java.util.stream.Stream;
 
 /**
  * The settings of one proxy.
@@ -12,22 +16,36 @@
  * @param failureDomain the failure domain of the VM
  * @param listen the address that the proxy listens on, as {@code ip:port}
  * @param platform the address of the platform's services, as {@code ip:port}
+ * @param seeds addresses of other proxies, as {@code ip:port}, for a start without the platform
+ * @param callers the limits on callers' requests
  */
-public record ProxySettings(String vm, String failureDomain, String listen, String platform) {
+public record ProxySettings(
+    String vm,
+    String failureDomain,
+    String listen,
+    String platform,
+    List<String> seeds,
+    CallerLimits callers) {
   /** The flag of the VM's name. */
   public static final String VM = "vm";
 
   private static final String FAILURE_DOMAIN = "failure-domain";
   private static final String LISTEN = "listen";
   private static final String PLATFORM = "platform";
+  private static final String PEERS = "peers";
 
   /** The settings that the program knows. */
   public static final List<Setting> ALL =
-      List.of(
-          Setting.text(VM, "name of this entry VM"),
-          Setting.text(FAILURE_DOMAIN, "failure domain of this entry VM"),
-          Setting.address(LISTEN, "ip:port to listen on, which other proxies reach"),
-          Setting.address(PLATFORM, "ip:port of the platform's services"));
+      Stream.concat(
+              Stream.of(
+                  Setting.text(VM, "name of this entry VM"),
+                  Setting.text(FAILURE_DOMAIN, "failure domain of this entry VM"),
+                  Setting.address(LISTEN, "ip:port to listen on, which other proxies reach"),
+                  Setting.address(PLATFORM, "ip:port of the platform's services"),
+                  Setting.text(
+                      PEERS, "", "ip:port of other proxies, with commas, if the platform is down")),
+              CallerSettings.ALL.stream())
+          .toList();
 
   /** Rejects null components. */
   public ProxySettings {
@@ -35,6 +53,8 @@
     Objects.requireNonNull(failureDomain, "failureDomain is null");
     Objects.requireNonNull(listen, "listen is null");
     Objects.requireNonNull(platform, "platform is null");
+    seeds = List.copyOf(seeds);
+    Objects.requireNonNull(callers, "callers is null");
   }
 
   /**
@@ -48,7 +68,9 @@
         settings.text(VM),
         settings.text(FAILURE_DOMAIN),
         settings.text(LISTEN),
-        settings.text(PLATFORM));
+        settings.text(PLATFORM),
+        Arrays.stream(settings.text(PEERS).split(",")).filter(a -> !a.isEmpty()).toList(),
+        CallerSettings.limits(settings));
   }
 
   /**
