--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorFixture.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorFixture.java
@@ -47,10 +47,10 @@
   final Coordinator coordinator;
 
   CoordinatorFixture() {
-    this(CallerLimits.defaults());
+    this(CallerLimits.defaults(), new CallerMetrics(new SimpleMeterRegistry()));
   }
 
-  CoordinatorFixture(CallerLimits limits) {
+  CoordinatorFixture(CallerLimits limits, CallerMetrics metrics) {
     coordinator =
         new Coordinator(
             source(),
@@ -61,7 +61,7 @@
             new Random(7),
             clock,
             limits,
-            new CallerMetrics(new SimpleMeterRegistry()));
+            metrics);
   }
 
   static ConfigurationSource source() {
