Order reads by load and take retries out of the shared budget

Cause: reads went by a fixed order and resends had a stand-in budget. Change: ReadRouting with the loads learnt from answers and refusals; SharedRetryBudget and Backoff in place of own code.

--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
@@ -11,6 +11,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.proxy.holder.Holders;
 import java.util.Objects;
@@ -43,7 +44,7 @@
    * @param watch knows the groups
    * @param holders runs statements on targets
    * @param peers knows this proxy and the leaving targets
-   * @param resends the budget for sending again
+   * @param retries the budget for sending again
    * @param random the source of jitter, safe for use by many threads
    * @param clock the runtime clock
    * @param limits the limits of callers' requests
@@ -54,7 +55,7 @@
       GroupWatch watch,
       Holders holders,
       Peers peers,
-      Resends resends,
+      SharedRetryBudget retries,
       RandomGenerator random,
       RuntimeClock clock,
       CallerLimits limits,
@@ -69,9 +70,11 @@
     this.keys = new KeyResolver(holders, watch, settler);
     final String vm = peers.self().name();
     final TermWait termWait = new TermWait(watch, clock, random);
-    this.writes = new Writes(holders, watch, keys, resends, termWait, vm);
-    this.reads = new Reads(holders, watch, new ReadTargets(peers), resends, termWait, vm);
-    this.transactions = new Transactions(holders, watch, keys, resends, termWait, vm);
+    final ReadTargets readTargets = new ReadTargets(peers, clock, random);
+    configuration.onChange(readTargets::retain);
+    this.writes = new Writes(holders, watch, keys, retries, termWait, vm);
+    this.reads = new Reads(holders, watch, readTargets, retries, termWait, vm);
+    this.transactions = new Transactions(holders, watch, keys, retries, termWait, vm);
     metrics.watch(inFlight, settler);
   }
 
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/ReadTargets.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/ReadTargets.java
@@ -1,51 +1,93 @@
 package io.lycheejunction.proxy.caller;
 
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.configuration.Configuration;
 import io.lycheejunction.core.configuration.TargetSpec;
 import io.lycheejunction.core.group.GroupView;
 import io.lycheejunction.core.port.Peers;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.routing.ReadQuery;
+import io.lycheejunction.core.routing.ReadRouting;
+import io.lycheejunction.core.routing.TargetLoads;
 import io.lycheejunction.core.term.LogPosition;
-import java.util.ArrayList;
-import java.util.Comparator;
+import io.lycheejunction.proxy.holder.HeldAnswer;
 import java.util.List;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import java.util.stream.Collectors;
 
-/** Orders the targets that a read is tried on. */
+/** Orders the targets that a read is tried on, and learns from their answers. */
 final class ReadTargets {
   private final Peers peers;
+  private final RuntimeClock clock;
+  private final RandomGenerator random;
+  private final TargetLoads loads = new TargetLoads();
 
   /**
    * Creates the order.
    *
    * @param peers knows this proxy's failure domain and the leaving targets
+   * @param clock the runtime clock
+   * @param random the source of shares and ties, safe for use by many threads
    */
-  ReadTargets(Peers peers) {
+  ReadTargets(Peers peers, RuntimeClock clock, RandomGenerator random) {
     this.peers = Objects.requireNonNull(peers, "peers is null");
+    this.clock = Objects.requireNonNull(clock, "clock is null");
+    this.random = Objects.requireNonNull(random, "random is null");
   }
 
   /**
-   * Returns the targets of a read, the best one first and the primary last.
+   * Returns the targets of a read, the best one first.
    *
    * @param route the service and its group
    * @param view what is known of the group
    * @param floor the position that the data must include
-   * @param aged true if the read accepts data of some age
+   * @param maxAgeMs the largest age of the data, in milliseconds, if the read accepts any
    * @return the names of the targets
    */
-  List<String> order(Route route, GroupView view, LogPosition floor, boolean aged) {
+  List<String> order(Route route, GroupView view, LogPosition floor, Optional<Long> maxAgeMs) {
+    Set<String> leaving =
+        route.group().targets().stream()
+            .map(TargetSpec::name)
+            .filter(peers::isLeaving)
+            .collect(Collectors.toSet());
     String domain = peers.self().failureDomain();
-    List<TargetSpec> usable = new ArrayList<>();
-    for (TargetSpec target : route.group().targets()) {
-      if (!route.group().drained().contains(target.name()) && !peers.isLeaving(target.name())) {
-        usable.add(target);
-      }
-    }
-    usable.sort(
-        Comparator.comparing((TargetSpec t) -> isPrimary(view, t))
-            .thenComparing(t -> !t.failureDomain().equals(domain)));
-    return usable.stream().map(TargetSpec::name).toList();
+    ReadQuery query = new ReadQuery(route.group(), view, domain, leaving, floor, maxAgeMs);
+    return ReadRouting.order(query, loads::load, clock.monotonicMs(), random);
   }
 
-  private static boolean isPrimary(GroupView view, TargetSpec target) {
-    return view.primary().filter(target.name()::equals).isPresent();
+  /**
+   * Records an answer.
+   *
+   * @param answer the answer
+   */
+  void answered(HeldAnswer answer) {
+    loads.answered(
+        answer.target(), answer.queued(), answer.position(), answer.ageMs(), clock.monotonicMs());
+  }
+
+  /**
+   * Records a refusal.
+   *
+   * @param target the name of the target
+   * @param fault the refusal
+   */
+  void refused(String target, Fault fault) {
+    loads.refused(target, fault, clock.monotonicMs());
+  }
+
+  /**
+   * Forgets the targets that a configuration does not have.
+   *
+   * @param configuration the configuration in force
+   */
+  void retain(Configuration configuration) {
+    loads.retain(
+        configuration.groups().values().stream()
+            .flatMap(group -> group.targets().stream())
+            .map(TargetSpec::name)
+            .collect(Collectors.toSet()));
   }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Reads.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Reads.java
@@ -6,6 +6,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.proxy.holder.HeldAnswer;
@@ -19,7 +20,7 @@
   private final Holders holders;
   private final GroupWatch watch;
   private final ReadTargets targets;
-  private final Resends resends;
+  private final SharedRetryBudget retries;
   private final TermWait termWait;
   private final String entryVm;
 
@@ -47,7 +48,7 @@
    * @param holders runs statements on targets
    * @param watch knows the groups
    * @param targets orders the targets of a read
-   * @param resends the budget for sending again
+   * @param retries the budget for sending again
    * @param termWait waits between attempts
    * @param entryVm the name of this proxy's VM
    */
@@ -55,13 +56,13 @@
       Holders holders,
       GroupWatch watch,
       ReadTargets targets,
-      Resends resends,
+      SharedRetryBudget retries,
       TermWait termWait,
       String entryVm) {
     this.holders = Objects.requireNonNull(holders, "holders is null");
     this.watch = Objects.requireNonNull(watch, "watch is null");
     this.targets = Objects.requireNonNull(targets, "targets is null");
-    this.resends = Objects.requireNonNull(resends, "resends is null");
+    this.retries = Objects.requireNonNull(retries, "retries is null");
     this.termWait = Objects.requireNonNull(termWait, "termWait is null");
     this.entryVm = Objects.requireNonNull(entryVm, "entryVm is null");
   }
@@ -75,7 +76,7 @@
    * @return the answer
    */
   Answer run(Route route, StatementCall call, Deadline deadline) {
-    resends.recordFirst();
+    retries.firstTry();
     Attempts attempts = new Attempts();
     while (!deadline.isOver()) {
       GroupView view = watch.view(route.groupName());
@@ -141,8 +142,8 @@
     Optional<Fault> telling = Optional.empty();
     boolean mayHeal = true;
     boolean resend = attempts.isDoubtful();
-    for (String target : targets.order(route, view, rules.floor(), rules.maxAgeMs().isPresent())) {
-      if (deadline.isOver() || (resend && !resends.tryResend())) {
+    for (String target : targets.order(route, view, rules.floor(), rules.maxAgeMs())) {
+      if (deadline.isOver() || (resend && !retries.tryRetry())) {
         break;
       }
       long attemptMs = attempts.attemptMs(true, deadline);
@@ -153,6 +154,7 @@
       }
       last = ((Result.Failure<HeldAnswer>) result).fault();
       attempts.record(last, view.term());
+      targets.refused(target, last);
       if (!Healing.mayAnswerElsewhere(last)) {
         return new Round.Failed(last, false);
       }
@@ -188,6 +190,7 @@
 
   private Answer done(Rules rules, HeldAnswer answer) {
     watch.learn(answer.view());
+    targets.answered(answer);
     return Answer.done(
         answer.rows(), rules.session(), false, Optional.of(answer.target()), answer.ageMs());
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/TermWait.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/TermWait.java
@@ -3,14 +3,14 @@
 import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.core.group.GroupView;
 import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.retry.Backoff;
 import java.util.Objects;
 import java.util.random.RandomGenerator;
 
 /** Waits between two attempts of a request: until a new term or for a random time. */
 final class TermWait {
-  private static final long FIRST_WAIT_MS = 10;
-  private static final long LONGEST_WAIT_MS = 160;
-  private static final int MAX_DOUBLINGS = 4;
+  private static final long SHORTEST_WAIT_MS = 5;
+  private static final Backoff BACKOFF = new Backoff(10, 160);
 
   private final GroupWatch watch;
   private final RuntimeClock clock;
@@ -39,9 +39,8 @@
    * @param deadline the deadline of the request
    */
   void pause(String group, long term, int attempt, Deadline deadline) {
-    long longestMs = Math.min(LONGEST_WAIT_MS, FIRST_WAIT_MS << Math.min(attempt, MAX_DOUBLINGS));
-    long jitteredMs = longestMs / 2 + random.nextLong(longestMs / 2 + 1);
-    long untilMs = clock.monotonicMs() + Math.min(jitteredMs, deadline.remainingMs());
+    long waitMs = Math.max(SHORTEST_WAIT_MS, BACKOFF.delayMs(attempt, 0, random));
+    long untilMs = clock.monotonicMs() + Math.min(waitMs, deadline.remainingMs());
     GroupView view = watch.awaitHigherTerm(group, term, untilMs - clock.monotonicMs());
     if (view.term() > term) {
       return;
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Transactions.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Transactions.java
@@ -7,6 +7,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.proxy.holder.HeldAnswer;
 import io.lycheejunction.proxy.holder.Holders;
@@ -23,7 +24,7 @@
   private final Holders holders;
   private final GroupWatch watch;
   private final KeyResolver keys;
-  private final Resends resends;
+  private final SharedRetryBudget retries;
   private final TermWait termWait;
   private final String entryVm;
 
@@ -33,7 +34,7 @@
    * @param holders runs transactions on targets
    * @param watch knows the primaries
    * @param keys resolves unknown outcomes
-   * @param resends the budget for sending again
+   * @param retries the budget for sending again
    * @param termWait waits between attempts
    * @param entryVm the name of this proxy's VM
    */
@@ -41,13 +42,13 @@
       Holders holders,
       GroupWatch watch,
       KeyResolver keys,
-      Resends resends,
+      SharedRetryBudget retries,
       TermWait termWait,
       String entryVm) {
     this.holders = Objects.requireNonNull(holders, "holders is null");
     this.watch = Objects.requireNonNull(watch, "watch is null");
     this.keys = Objects.requireNonNull(keys, "keys is null");
-    this.resends = Objects.requireNonNull(resends, "resends is null");
+    this.retries = Objects.requireNonNull(retries, "retries is null");
     this.termWait = Objects.requireNonNull(termWait, "termWait is null");
     this.entryVm = Objects.requireNonNull(entryVm, "entryVm is null");
   }
@@ -61,10 +62,10 @@
    * @return the answer
    */
   Answer begin(Route route, BeginCall call, Deadline deadline) {
-    resends.recordFirst();
+    retries.firstTry();
     Attempts attempts = new Attempts();
     while (!deadline.isOver()) {
-      if (attempts.isDoubtful() && !resends.tryResend()) {
+      if (attempts.isDoubtful() && !retries.tryRetry()) {
         break;
       }
       GroupView view = watch.view(route.groupName());
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Writes.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Writes.java
@@ -6,6 +6,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.proxy.holder.HeldAnswer;
@@ -19,7 +20,7 @@
   private final Holders holders;
   private final GroupWatch watch;
   private final KeyResolver keys;
-  private final Resends resends;
+  private final SharedRetryBudget retries;
   private final TermWait termWait;
   private final String entryVm;
 
@@ -29,7 +30,7 @@
    * @param holders runs statements on targets
    * @param watch knows the primaries
    * @param keys resolves unknown outcomes
-   * @param resends the budget for sending again
+   * @param retries the budget for sending again
    * @param termWait waits between attempts
    * @param entryVm the name of this proxy's VM
    */
@@ -37,13 +38,13 @@
       Holders holders,
       GroupWatch watch,
       KeyResolver keys,
-      Resends resends,
+      SharedRetryBudget retries,
       TermWait termWait,
       String entryVm) {
     this.holders = Objects.requireNonNull(holders, "holders is null");
     this.watch = Objects.requireNonNull(watch, "watch is null");
     this.keys = Objects.requireNonNull(keys, "keys is null");
-    this.resends = Objects.requireNonNull(resends, "resends is null");
+    this.retries = Objects.requireNonNull(retries, "retries is null");
     this.termWait = Objects.requireNonNull(termWait, "termWait is null");
     this.entryVm = Objects.requireNonNull(entryVm, "entryVm is null");
   }
@@ -57,10 +58,10 @@
    * @return the answer
    */
   Answer run(Route route, StatementCall call, Deadline deadline) {
-    resends.recordFirst();
+    retries.firstTry();
     Attempts attempts = new Attempts();
     while (!deadline.isOver()) {
-      if (attempts.isDoubtful() && !resends.tryResend()) {
+      if (attempts.isDoubtful() && !retries.tryRetry()) {
         pause(route, attempts, deadline);
         continue;
       }
--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorFixture.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorFixture.java
@@ -15,6 +15,8 @@
 import io.lycheejunction.core.port.Vm;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.retry.RetryBudget;
+import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.proxy.holder.HeldAnswer;
@@ -57,7 +59,7 @@
             watch,
             holders,
             new OnePeer(),
-            new UnlimitedResends(),
+            new SharedRetryBudget(RetryBudget.full(0.1, 1_000)),
             new Random(7),
             clock,
             limits,
@@ -90,17 +92,6 @@
     };
   }
 
-  /** A budget that never runs out. */
-  private static final class UnlimitedResends implements Resends {
-    @Override
-    public void recordFirst() {}
-
-    @Override
-    public boolean tryResend() {
-      return true;
-    }
-  }
-
   /** Knows only this proxy, in the failure domain lekki. */
   private static final class OnePeer implements Peers {
     private static final Vm SELF = new Vm("vm-a", Vm.Kind.ENTRY, "lekki", "127.0.0.1:9", false);
