--- a/proxy/src/main/java/io/lycheejunction/proxy/configuration/AppliedLog.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/configuration/AppliedLog.java
@@ -1,16 +1,12 @@
 package io.lycheejunction.proxy.configuration;
 
 import io.lycheejunction.common.log.EventLog;
-import io.lycheejunction.core.configuration.ChangeRow;
 import io.lycheejunction.core.configuration.Configuration;
 import io.lycheejunction.core.configuration.ConfigurationRules;
 import io.lycheejunction.core.configuration.ConfigurationSource;
 import io.lycheejunction.core.language.Printer;
-import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -20,14 +16,10 @@
 /** The rows applied so far; each version is applied once, in order, and never a lower one. */
 public final class AppliedLog implements ConfigurationSource {
   private static final EventLog LOG = EventLog.of(AppliedLog.class);
-  private static final int KEPT_ROWS = 256;
-  private static final int KEPT_IDS = 256;
 
   private final List<Consumer<Configuration>> listeners = new CopyOnWriteArrayList<>();
-  private final Deque<LogRow> rows = new ArrayDeque<>();
-  private final Deque<ChangeId> ids = new ArrayDeque<>();
-  private volatile Configuration current = Configuration.empty();
-  private volatile Optional<Poison> poison = Optional.empty();
+  private final InOrder<LogState> state =
+      new InOrder<>(LogState.empty(), LogState::version, this::publish);
 
   /** What became of an offered row. */
   public enum Offer {
@@ -43,7 +35,7 @@
 
   @Override
   public Configuration current() {
-    return current;
+    return state.current().configuration();
   }
 
   @Override
@@ -51,13 +43,18 @@
     listeners.add(Objects.requireNonNull(listener, "listener is null"));
   }
 
+  private void publish(LogState next) {
+    LOG.info("configuration_applied", "version", next.version());
+    listeners.forEach(listener -> listener.accept(next.configuration()));
+  }
+
   /**
    * Returns the row that holds back the log.
    *
    * @return the row, or empty if the log is not held back
    */
   public Optional<Poison> poison() {
-    return poison;
+    return state.current().poison();
   }
 
   /**
@@ -66,69 +63,39 @@
    * @param row a row that the platform's table has
    * @return what became of it
    */
-  public synchronized Offer offer(LogRow row) {
-    long next = current.version() + 1;
-    if (row.version() < next) {
-      return Offer.OLD;
-    }
-    if (row.version() > next) {
-      return Offer.GAP;
-    }
-    return RowCodec.decode(row).fold(fault -> hold(row, fault), read -> apply(row, read));
+  public Offer offer(LogRow row) {
+    return state
+        .advance(row.version(), before -> next(before, row))
+        .fold(fault -> hold(new Poison(row.version(), fault.detail())), offer -> offer);
   }
 
-  private Offer apply(LogRow row, ChangeRow read) {
-    Result<Configuration> applied = ConfigurationRules.apply(current, read.change());
-    return applied.fold(
-        fault -> hold(row, fault),
-        next -> {
-          keep(row, new ChangeId(read.id(), read.version()));
-          publish(next);
-          return Offer.APPLIED;
-        });
-  }
-
-  private Offer hold(LogRow row, Fault fault) {
-    hold(new Poison(row.version(), fault.detail()));
-    return Offer.POISONED;
+  private static Result<LogState> next(LogState before, LogRow row) {
+    return RowCodec.decode(row)
+        .flatMap(
+            read ->
+                ConfigurationRules.apply(before.configuration(), read.change())
+                    .map(after -> before.next(row, read, after)));
   }
 
   /**
    * Stops the log at a row that cannot be applied, until a later offer of that row succeeds.
    *
    * @param found the row
+   * @return {@code POISONED}
    */
-  synchronized void hold(Poison found) {
-    if (found.version() <= current.version() || poison.equals(Optional.of(found))) {
-      return;
+  Offer hold(Poison found) {
+    if (!poison().equals(Optional.of(found))) {
+      LOG.warn(
+          "configuration_row_poisoned",
+          "version",
+          found.version(),
+          "in_force",
+          current().version(),
+          "reason",
+          found.reason());
     }
-    poison = Optional.of(found);
-    LOG.warn(
-        "configuration_row_poisoned",
-        "version",
-        found.version(),
-        "in_force",
-        current.version(),
-        "reason",
-        found.reason());
-  }
-
-  private void keep(LogRow row, ChangeId id) {
-    rows.addLast(row);
-    if (rows.size() > KEPT_ROWS) {
-      rows.removeFirst();
-    }
-    ids.addLast(id);
-    if (ids.size() > KEPT_IDS) {
-      ids.removeFirst();
-    }
-  }
-
-  private void publish(Configuration next) {
-    current = next;
-    poison = Optional.empty();
-    LOG.info("configuration_applied", "version", next.version());
-    listeners.forEach(listener -> listener.accept(next));
+    state.update(now -> now.heldBy(found));
+    return Offer.POISONED;
   }
 
   /**
@@ -137,15 +104,8 @@
    * @param snapshot the snapshot
    * @return false if its version is not higher than the one in force
    */
-  public synchronized boolean install(Snapshot snapshot) {
-    if (snapshot.configuration().version() <= current.version()) {
-      return false;
-    }
-    rows.clear();
-    ids.clear();
-    ids.addAll(snapshot.latest());
-    publish(snapshot.configuration());
-    return true;
+  public boolean install(Snapshot snapshot) {
+    return state.replace(LogState.of(snapshot));
   }
 
   /**
@@ -153,8 +113,9 @@
    *
    * @return the snapshot
    */
-  public synchronized Snapshot snapshot() {
-    return new Snapshot(Snapshot.SCHEMA, current, List.copyOf(ids));
+  public Snapshot snapshot() {
+    LogState now = state.current();
+    return new Snapshot(Snapshot.SCHEMA, now.configuration(), now.ids());
   }
 
   /**
@@ -164,10 +125,10 @@
    * @param maxChars the most characters that the rows may have together, except for the first
    * @return the rows in order; empty if the next row is not kept or not applied
    */
-  public synchronized List<LogRow> rowsAfter(long version, int maxChars) {
+  public List<LogRow> rowsAfter(long version, int maxChars) {
     List<LogRow> found = new ArrayList<>();
     int chars = 0;
-    for (LogRow row : rows) {
+    for (LogRow row : state.current().rows()) {
       if (row.version() <= version) {
         continue;
       }
@@ -186,9 +147,9 @@
    *
    * @return the changes whose rows are kept, oldest first
    */
-  public synchronized List<AcceptedChange> changes() {
+  public List<AcceptedChange> changes() {
     List<AcceptedChange> found = new ArrayList<>();
-    for (LogRow row : rows) {
+    for (LogRow row : state.current().rows()) {
       RowCodec.decode(row)
           .map(
               read ->
@@ -208,7 +169,10 @@
    * @param id the change's identifier
    * @return the version, or empty if none of the latest changes has the identifier
    */
-  public synchronized Optional<Long> versionOf(String id) {
-    return ids.stream().filter(c -> c.id().equals(id)).map(ChangeId::version).findFirst();
+  public Optional<Long> versionOf(String id) {
+    return state.current().ids().stream()
+        .filter(c -> c.id().equals(id))
+        .map(ChangeId::version)
+        .findFirst();
   }
 }
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
@@ -0,0 +1,316 @@
+package io.lycheejunction.proxy.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.core.configuration.ChangeRow;
+import io.lycheejunction.core.port.PlatformTable.Row;
+import io.lycheejunction.core.result.Outcome;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.proxy.configuration.ConfigurationLog;
+import io.lycheejunction.standin.model.FaultInjector;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationFaultsTest {
+  private final Once faults = new Once();
+  private final Fleet fleet = Fleet.of(faults);
+
+  /** Runs each prepared action before one write to the table. */
+  private static final class Once implements FaultInjector {
+    private final Deque<Runnable> beforePut = new ArrayDeque<>();
+
+    @Override
+    public Injected before(Call call) {
+      Runnable next = call.operation().equals("putIfAbsent") ? beforePut.poll() : null;
+      return next == null ? Injected.PASS : new Injected.Run(next);
+    }
+
+    @Override
+    public Injected after(Call call) {
+      return Injected.PASS;
+    }
+  }
+
+  private Fleet.Node node(String name) {
+    return fleet.node(name);
+  }
+
+  private static void assertCode(ResultCode code, OperatorReply reply) {
+    assertEquals(code.name(), reply.name(), reply.text());
+  }
+
+  private void createGroup() {
+    assertCode(ResultCode.DONE, node("vm-a").run(Fleet.GROUP));
+    fleet.round();
+    assertEquals(List.of(1L, 1L, 1L), fleet.versions());
+  }
+
+  private void poison(String text) {
+    fleet.platform.putIfAbsent(
+        ConfigurationLog.TABLE, new Row(ChangeRow.key(fleet.rows() + 1), text));
+  }
+
+  @Nested
+  class Races {
+    @Test
+    void shouldRefuseLoserWhenItsChangeNoLongerFits() {
+      faults.beforePut.add(() -> assertCode(ResultCode.DONE, node("vm-b").run(Fleet.GROUP)));
+      assertCode(ResultCode.INVALID_CHANGE, node("vm-a").run(Fleet.GROUP));
+      assertEquals(1, fleet.rows());
+    }
+
+    @Test
+    void shouldOrderBothWhenTheyDoNotConflict() {
+      createGroup();
+      faults.beforePut.add(() -> assertCode(ResultCode.DONE, node("vm-b").run("drain target a2")));
+      assertEquals(Optional.of(3L), node("vm-a").run("drain target a1").version());
+    }
+
+    @Test
+    void shouldRefuseLoserWhenItNamesVersion() {
+      createGroup();
+      faults.beforePut.add(() -> assertCode(ResultCode.DONE, node("vm-b").run("drain target a2")));
+      assertCode(ResultCode.VERSION_CONFLICT, node("vm-a").run("drain target a1 if version 1"));
+      assertEquals(2, fleet.rows());
+    }
+
+    @Test
+    void shouldRefuseWhenPausedOperatorWakesWithOldVersion() {
+      createGroup();
+      assertCode(ResultCode.DONE, node("vm-b").run("drain target a2"));
+      assertEquals(1, node("vm-a").version());
+      assertCode(ResultCode.VERSION_CONFLICT, node("vm-a").run("undrain target a2 if version 1"));
+      assertCode(ResultCode.DONE, node("vm-a").run("undrain target a2 if version 2"));
+    }
+  }
+
+  @Nested
+  class LostReplies {
+    @Test
+    void shouldAcceptOnceWhenReplyIsLostAfterEffect() {
+      fleet.platform.loseReplies(1);
+      assertEquals(Optional.of(1L), node("vm-a").run(Fleet.GROUP).version());
+      assertEquals(1, fleet.rows());
+    }
+
+    @Test
+    void shouldSettleByIdentifierWhenOutcomeIsUnknown() {
+      fleet.platform.loseReplies(100);
+      OperatorReply unknown = node("vm-a").run(Fleet.GROUP, Optional.of("change-1"), false);
+      fleet.platform.loseReplies(0);
+      assertCode(ResultCode.STORE_UNKNOWN, unknown);
+      assertEquals(Outcome.OUTCOME_UNKNOWN, unknown.outcome());
+      assertEquals(Optional.of("change-1"), unknown.changeId());
+      assertEquals(Optional.of(1L), node("vm-b").run("show change change-1").version());
+      OperatorReply again = node("vm-c").run(Fleet.GROUP, Optional.of("change-1"), false);
+      assertEquals(Optional.of(1L), again.version());
+      assertEquals(1, fleet.rows());
+    }
+
+    @Test
+    void shouldAcceptAgainWhenStaleProxyGetsTheSameChangeWithItsVersion() {
+      createGroup();
+      String command = "drain target a1 if version 1";
+      node("vm-a").run(command, Optional.of("change-2"), false);
+      OperatorReply again = node("vm-b").run(command, Optional.of("change-2"), false);
+      assertEquals(Optional.of(2L), again.version());
+      node("vm-a").run("drain target a2");
+      OperatorReply late = node("vm-c").run(command, Optional.of("change-2"), false);
+      assertEquals(Optional.of(2L), late.version());
+      assertEquals(3, fleet.rows());
+    }
+
+    @Test
+    void shouldNotFindWhenNothingWasWritten() {
+      assertCode(ResultCode.UNKNOWN_CHANGE, node("vm-a").run("show change none"));
+    }
+  }
+
+  @Nested
+  class Outages {
+    @Test
+    void shouldServeAndRefuseTruthfullyWhenTableIsDown() {
+      createGroup();
+      fleet.platform.setDown(true);
+      assertCode(ResultCode.STORE_UNAVAILABLE, node("vm-a").run("drain target a1"));
+      for (int i = 0; i < 100; i++) {
+        fleet.round();
+      }
+      assertEquals(List.of(1L, 1L, 1L), fleet.versions());
+      fleet.platform.setDown(false);
+      fleet.round();
+      assertEquals(1, fleet.rows());
+      assertCode(ResultCode.DONE, node("vm-a").run("drain target a1"));
+    }
+
+    @Test
+    void shouldBeUnknownWhenTableIsSlowerThanItsTimeout() {
+      createGroup();
+      fleet.platform.setSlowMs(5_000);
+      OperatorReply slow = node("vm-a").run("drain target a1");
+      fleet.platform.setSlowMs(0);
+      assertCode(ResultCode.STORE_UNKNOWN, slow);
+      String settled = "show change " + slow.changeId().orElseThrow();
+      assertEquals(Optional.of(2L), node("vm-b").run(settled).version());
+    }
+
+    @Test
+    void shouldRelayWhenDomainIsCutFromPlatform() {
+      createGroup();
+      fleet.links.cutPlatform("lekki");
+      assertCode(ResultCode.DONE, node("vm-a").run("drain target a2"));
+      fleet.round();
+      fleet.round();
+      assertEquals(List.of(2L, 2L, 2L), fleet.versions());
+    }
+
+    @Test
+    void shouldNameUnreachedWhenDomainIsCutFromAll() {
+      createGroup();
+      fleet.links.cutPlatform("lekki");
+      fleet.links.isolate("lekki", List.of("ikeja", "apapa"));
+      OperatorReply reply = node("vm-a").run("drain target a2", Optional.empty(), true);
+      assertCode(ResultCode.DONE, reply);
+      assertEquals(List.of("vm-a", "vm-c"), reply.inForce());
+      assertEquals(List.of("vm-b"), reply.notReached());
+      fleet.links.healAll();
+      for (int i = 0; i < 3; i++) {
+        fleet.round();
+      }
+      assertEquals(List.of(2L, 2L, 2L), fleet.versions());
+    }
+  }
+
+  @Nested
+  class Restarts {
+    private void changes(int count) {
+      for (int i = 0; i < count; i++) {
+        String verb = fleet.rows() % 2 == 1 ? "drain" : "undrain";
+        assertCode(ResultCode.DONE, node("vm-a").run(verb + " target a1"));
+      }
+    }
+
+    @Test
+    void shouldReadSnapshotAndTailWhenStarting() {
+      createGroup();
+      changes(100);
+      assertEquals(1, fleet.platform.objectNames("configuration/snapshots/").size());
+      Fleet.Node fresh = fleet.listed("vm-d", "ikeja");
+      assertTrue(fresh.control().reasonNotReady().isPresent());
+      fresh.control().log().poll();
+      assertEquals(101, fresh.version());
+      assertFalse(fresh.control().reasonNotReady().isPresent());
+    }
+
+    @Test
+    void shouldKeepVersionWhenSnapshotIsStale() {
+      createGroup();
+      changes(63);
+      fleet.links.cutPlatform("apapa");
+      Fleet.Node fresh =
+          fleet.start("vm-c", "apapa", List.of(node("vm-a").vm().address()), List.of());
+      fresh.control().heartbeats().exchange(node("vm-a").vm());
+      changes(2);
+      fresh.control().heartbeats().exchange(node("vm-a").vm());
+      assertEquals(66, fresh.version());
+      fleet.links.healPlatform("apapa");
+      fresh.control().log().poll();
+      assertEquals(66, fresh.version());
+    }
+
+    @Test
+    void shouldAskPeersWhenPlatformIsDownAtStart() {
+      createGroup();
+      fleet.platform.setDown(true);
+      Fleet.Node fresh =
+          fleet.start("vm-d", "lekki", List.of(node("vm-a").vm().address()), List.of());
+      fresh.control().log().poll();
+      assertTrue(fresh.control().reasonNotReady().isPresent());
+      fresh.control().heartbeats().round();
+      assertEquals(1, fresh.version());
+      assertFalse(fresh.control().reasonNotReady().isPresent());
+    }
+
+    @Test
+    void shouldStayNotReadyWhenPeerKnowsNothingEither() {
+      fleet.platform.setDown(true);
+      Fleet.Node fresh =
+          fleet.start("vm-d", "lekki", List.of(node("vm-a").vm().address()), List.of());
+      fresh.control().heartbeats().round();
+      assertTrue(fresh.control().reasonNotReady().isPresent());
+    }
+
+    @Test
+    void shouldSettleWhenProxyDiesInTheMiddleOfWrite() {
+      fleet.platform.loseReplies(100);
+      node("vm-a").run(Fleet.GROUP, Optional.of("change-1"), false);
+      fleet.platform.loseReplies(0);
+      Fleet.Node restarted = fleet.start("vm-a", "ikeja", List.of(), List.of());
+      assertEquals(Optional.of(1L), restarted.run("show change change-1").version());
+    }
+  }
+
+  @Nested
+  class Poison {
+    private void assertStops(String text, String reason) {
+      createGroup();
+      poison(text);
+      fleet.round();
+      assertEquals(List.of(1L, 1L, 1L), fleet.versions());
+      String shown = node("vm-b").run("show config").text();
+      assertTrue(shown.contains(reason), shown);
+      assertCode(ResultCode.POISONED_ROW, node("vm-a").run("drain target a1"));
+      assertEquals(2, fleet.rows());
+    }
+
+    @Test
+    void shouldStopAndServeWhenRowIsNotJson() {
+      assertStops("{\"schema\":1,", "bad JSON");
+    }
+
+    @Test
+    void shouldStopAndServeWhenSchemaIsUnknown() {
+      assertStops("{\"schema\":2}", "unknown schema version 2");
+    }
+
+    @Test
+    void shouldStopAndServeWhenKindIsUnknown() {
+      assertStops(
+          "{\"schema\":1,\"id\":\"x\",\"version\":2,\"change\":{\"kind\":\"no\"}}", "bad change");
+    }
+
+    @Test
+    void shouldStopAndServeWhenRowIsTooLarge() {
+      assertStops("x".repeat(ChangeRow.MAX_ROW_CHARS + 1), "characters");
+    }
+
+    @Test
+    void shouldStopAndServeWhenRowIsMissing() {
+      createGroup();
+      fleet.platform.putIfAbsent(ConfigurationLog.TABLE, new Row(ChangeRow.key(7), "{}"));
+      fleet.round();
+      assertEquals(List.of(1L, 1L, 1L), fleet.versions());
+      assertTrue(node("vm-c").run("show config").text().contains("row is missing"));
+    }
+  }
+
+  @Nested
+  class DryRun {
+    @Test
+    void shouldShowEffectWhenNothingIsWritten() {
+      createGroup();
+      OperatorReply reply =
+          node("vm-a").operator().answer("{\"command\":\"drain target a1\",\"dryRun\":true}");
+      assertCode(ResultCode.DONE, reply);
+      assertTrue(reply.text().contains("+ drain target a1"), reply.text());
+      assertEquals(1, fleet.rows());
+    }
+  }
+}
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/Fleet.java
@@ -0,0 +1,152 @@
+package io.lycheejunction.proxy.operator;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.common.operator.OperatorRequest;
+import io.lycheejunction.core.clock.ManualClock;
+import io.lycheejunction.core.port.PeerTransport;
+import io.lycheejunction.core.port.Vm;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.proxy.configuration.ConfigurationLog;
+import io.lycheejunction.proxy.forward.PeerRoutes;
+import io.lycheejunction.proxy.supervisor.Drainable;
+import io.lycheejunction.standin.model.FaultInjector;
+import io.lycheejunction.standin.model.Links;
+import io.lycheejunction.standin.model.ModelPlatform;
+import io.lycheejunction.standin.model.PlatformModel;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+import java.util.random.RandomGeneratorFactory;
+
+/** Proxies' control parts on a modelled platform, all run by the test's thread. */
+final class Fleet {
+  static final String GROUP =
+      "create group orders targets (a1 in ikeja at 10.1.0.1:1, a2 in lekki at 10.1.0.2:1,"
+          + " a3 in apapa at 10.1.0.3:1) slots 3 connections 20";
+  private static final long ROUND_MS = 1_000;
+  private static final long POLLS_PER_ROUND = 4;
+
+  final ManualClock clock = ManualClock.advancing();
+  final PlatformModel platform = new PlatformModel();
+  final Links links = new Links(0);
+  final Map<String, Node> nodes = new TreeMap<>();
+  private final FaultInjector faults;
+  private int seed;
+
+  Fleet(FaultInjector faults) {
+    this.faults = faults;
+  }
+
+  static Fleet of(FaultInjector faults) {
+    Fleet fleet = new Fleet(faults);
+    fleet.listed("vm-a", "ikeja");
+    fleet.listed("vm-b", "lekki");
+    fleet.listed("vm-c", "apapa");
+    fleet.nodes.values().forEach(node -> node.control().list().poll());
+    return fleet;
+  }
+
+  /** One proxy. */
+  record Node(Vm vm, PeerRoutes routes, Control control, Operator operator, Shutdown shutdown) {
+    long version() {
+      return control.configuration().current().version();
+    }
+
+    OperatorReply run(String command) {
+      return run(command, Optional.empty(), false);
+    }
+
+    OperatorReply run(String command, Optional<String> id, boolean wait) {
+      return operator.answer(new OperatorRequest(command, Optional.empty(), id, false, wait));
+    }
+  }
+
+  Node listed(String name, String domain) {
+    Node node = start(name, domain, List.of(), List.of());
+    platform.putVm(node.vm());
+    return node;
+  }
+
+  /** Starts a proxy, in place of one of the same name. */
+  Node start(String name, String domain, List<String> seeds, List<Drainable> parts) {
+    Vm vm = new Vm(name, Vm.Kind.ENTRY, domain, "10.0.0." + name.charAt(3) + ":1", false);
+    PeerRoutes routes = new PeerRoutes();
+    ModelPlatform reached = new ModelPlatform(domain, platform, links, faults, clock);
+    Control.Ports ports = new Control.Ports(reached, reached, reached, new Loop(domain), routes);
+    seed++;
+    RandomGenerator random = RandomGeneratorFactory.of("L64X128MixRandom").create(seed);
+    Control control = new Control(vm, seeds, ports, clock, random);
+    Shutdown shutdown = control.shutdown(parts);
+    Operator operator =
+        control.operator(
+            new Tables(),
+            new NoGroups(),
+            (group, target) -> Result.success(target + " promoted"),
+            shutdown,
+            Control.ids(random));
+    Node node = new Node(vm, routes, control, operator, shutdown);
+    nodes.put(name, node);
+    return node;
+  }
+
+  Node node(String name) {
+    return nodes.get(name);
+  }
+
+  /** Runs what a second of production runs, on every proxy. */
+  void round() {
+    for (Node node : List.copyOf(nodes.values())) {
+      node.control().heartbeats().round();
+      node.control().list().poll();
+      for (int i = 0; i < POLLS_PER_ROUND; i++) {
+        node.control().log().poll();
+      }
+    }
+    clock.advanceMs(ROUND_MS);
+  }
+
+  List<Long> versions() {
+    return nodes.values().stream().map(Node::version).toList();
+  }
+
+  int rows() {
+    return platform.rows(ConfigurationLog.TABLE, "", 10_000).size();
+  }
+
+  /** Carries messages by direct calls, through JSON. */
+  private final class Loop implements PeerTransport {
+    private final String domain;
+
+    Loop(String domain) {
+      this.domain = domain;
+    }
+
+    @Override
+    public <T> Result<T> call(
+        Vm peer, String path, Object message, Class<T> replyType, long timeoutMs) {
+      Optional<Node> node =
+          nodes.values().stream().filter(n -> n.vm().address().equals(peer.address())).findFirst();
+      if (node.isEmpty()) {
+        return Result.failure(ResultCode.PEER_UNREACHABLE, "nothing at " + peer.address());
+      }
+      if (links.isCut(domain, node.get().vm().failureDomain())) {
+        clock.advanceMs(timeoutMs);
+        return Result.failure(ResultCode.UNKNOWN_OUTCOME, "cut");
+      }
+      return open(node.get().routes().handle(path, Json.write(message)), replyType);
+    }
+
+    private <T> Result<T> open(String text, Class<T> replyType) {
+      JsonNode envelope = Json.read(text, JsonNode.class).getOrElse(Json.MAPPER.nullNode());
+      return envelope.get("fault").isNull()
+          ? Json.read(envelope.get("reply").toString(), replyType)
+          : Json.read(envelope.get("fault").toString(), Fault.class).flatMap(Result::failure);
+    }
+  }
+}
