--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.language.Statement.Subject;
 import io.lycheejunction.core.port.ObjectStore;
 import io.lycheejunction.core.port.PeerTransport;
 import io.lycheejunction.core.port.PlatformTable;
@@ -18,6 +19,7 @@
 import io.lycheejunction.proxy.supervisor.Child;
 import io.lycheejunction.proxy.supervisor.Drainable;
 import io.lycheejunction.proxy.supervisor.Periodic;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -137,6 +139,18 @@
         ports.routes());
   }
 
+  /**
+   * Adds the metrics of these parts, and the table of refused requests.
+   *
+   * @param registry keeps the meters
+   * @param tables receives the table
+   */
+  public void watch(MeterRegistry registry, Tables tables) {
+    ControlMetrics.bind(registry, log, membership);
+    RefusedTable refused = new RefusedTable(registry);
+    tables.add(Subject.REFUSED, refused::table);
+  }
+
   /**
    * Returns why the configuration is not known yet.
    *
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Operator.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Operator.java
@@ -1,5 +1,7 @@
 package io.lycheejunction.proxy.operator;
 
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.exc.UnrecognizedPropertyException;
 import io.lycheejunction.common.json.Json;
 import io.lycheejunction.common.operator.OperatorReply;
 import io.lycheejunction.common.operator.OperatorRequest;
@@ -117,7 +119,7 @@
               ResultCode.BODY_TOO_LARGE,
               body.length() + " characters; allowed: " + MAX_BODY_CHARS));
     }
-    return Json.read(body, OperatorRequest.class).fold(Operator::refused, this::answer);
+    return read(body).fold(Operator::refused, this::answer);
   }
 
   /**
@@ -131,6 +133,20 @@
         .fold(Operator::refused, input -> run(request, input));
   }
 
+  /** A misspelt field is refused: without it the request would mean something else. */
+  private static Result<OperatorRequest> read(String body) {
+    try {
+      OperatorRequest request = Json.STRICT.readValue(body, OperatorRequest.class);
+      return request == null
+          ? Result.failure(ResultCode.BAD_JSON, "the body is null")
+          : Result.success(request);
+    } catch (UnrecognizedPropertyException e) {
+      return Result.failure(ResultCode.UNKNOWN_FIELD, "no field " + e.getPropertyName());
+    } catch (JsonProcessingException e) {
+      return Result.failure(ResultCode.BAD_JSON, e.getOriginalMessage());
+    }
+  }
+
   private OperatorReply run(OperatorRequest request, Input input) {
     return switch (input.statement()) {
       case Statement.Show show -> show(show);
@@ -182,8 +198,8 @@
   private OperatorReply submit(OperatorRequest request, Change change, Optional<Long> ifVersion) {
     String id = request.changeId().orElseGet(services.ids());
     Result<ChangeId> written = services.writer().submit(new ChangeRequest(id, change, ifVersion));
-    if (change instanceof Change.DrainTarget(String target, boolean drained) && drained) {
-      services.list().tellHolder(target);
+    if (!written.isEmpty() && change instanceof Change.DrainTarget drain && drain.drained()) {
+      services.list().tellHolder(drain.target());
     }
     return written.fold(
         fault -> OperatorReply.failed(fault, Optional.of(id)),
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Shutdown.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Shutdown.java
@@ -69,8 +69,8 @@
     long untilMs = clock.monotonicMs() + MAX_WAIT_MS;
     try {
       announce.run();
-      parts.forEach(Drainable::drain);
       for (Drainable part : parts) {
+        part.drain();
         await(part, untilMs);
       }
     } finally {
--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
@@ -301,6 +301,40 @@
     }
   }
 
+  @Nested
+  class Requests {
+    @Test
+    void shouldRefuseWhenFieldIsMisspelt() {
+      createGroup();
+      OperatorReply reply =
+          node("vm-a").operator().answer("{\"command\":\"drain target a1\",\"dry_run\":true}");
+      assertCode(ResultCode.UNKNOWN_FIELD, reply);
+      assertEquals(1, fleet.rows());
+    }
+
+    @Test
+    void shouldRefuseWhenBodyOrStatementIsWrong() {
+      Operator operator = node("vm-a").operator();
+      assertCode(ResultCode.BAD_JSON, operator.answer("null"));
+      assertCode(ResultCode.BAD_JSON, operator.answer("{\"command\":null}"));
+      assertCode(ResultCode.BODY_TOO_LARGE, operator.answer("x".repeat(40_000)));
+      assertCode(ResultCode.SYNTAX_ERROR, operator.answer("{\"command\":\"drain a1\"}"));
+    }
+
+    @Test
+    void shouldAnswerEveryTableWhenAsked() {
+      createGroup();
+      for (String table :
+          List.of("config", "groups", "services", "targets", "proxies", "lag", "changes")) {
+        assertCode(ResultCode.DONE, node("vm-b").run("show " + table));
+      }
+      String lagging = "show targets where domain = lekki and state = in-service";
+      OperatorReply reply = node("vm-b").run(lagging);
+      assertEquals("a2", reply.table().orElseThrow().get(0).get("target").asText());
+      assertEquals(1, reply.table().orElseThrow().size());
+    }
+  }
+
   @Nested
   class DryRun {
     @Test
