Bound the bytes of heartbeats

Cause: a worst-case message of a fleet of 710 had 593 bytes, which makes 1,686 bytes a second with headers, above the share of 1,500. Change: two reports instead of three, short names in JSON, defaults left out, one round in 2 s above 16 proxies; seeds are asked while no other is live.

--- a/core/src/main/java/io/lycheejunction/core/membership/Heartbeat.java
+++ b/core/src/main/java/io/lycheejunction/core/membership/Heartbeat.java
@@ -1,11 +1,13 @@
 package io.lycheejunction.core.membership;
 
+import com.fasterxml.jackson.annotation.JsonProperty;
 import io.lycheejunction.core.port.Vm;
 import java.util.List;
 import java.util.Objects;
 
 /**
- * A message from one proxy to another, or the reply to it.
+ * A message from one proxy to another, or the reply to it; the names in JSON are short to save
+ * bytes.
  *
  * @param sender the sender's entry VM; {@code leaving} is its own word
  * @param recipient the name of the VM that it is meant for; empty if the sender knows only an
@@ -16,14 +18,14 @@
  * @param signs the signs of leaving targets that the sender knows
  */
 public record Heartbeat(
-    Vm sender,
-    String recipient,
-    long incarnation,
-    long version,
-    List<MemberReport> reports,
-    List<LeavingSign> signs) {
+    @JsonProperty("s") Vm sender,
+    @JsonProperty("r") String recipient,
+    @JsonProperty("i") long incarnation,
+    @JsonProperty("v") long version,
+    @JsonProperty("m") List<MemberReport> reports,
+    @JsonProperty("t") List<LeavingSign> signs) {
   /** The most reports in one message. */
-  public static final int MAX_REPORTS = 3;
+  public static final int MAX_REPORTS = 2;
 
   /** The most signs in one message. */
   public static final int MAX_SIGNS = 8;
--- a/core/src/main/java/io/lycheejunction/core/membership/MemberReport.java
+++ b/core/src/main/java/io/lycheejunction/core/membership/MemberReport.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.core.membership;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import io.lycheejunction.core.port.Vm;
 import java.util.Objects;
@@ -15,6 +16,7 @@
  * @param leaving true if it is leaving
  * @param version the configuration version known to be in force on it
  */
+@JsonInclude(JsonInclude.Include.NON_DEFAULT)
 public record MemberReport(
     @JsonProperty("n") String name,
     @JsonProperty("d") String failureDomain,
--- a/proxy/src/main/java/io/lycheejunction/proxy/membership/Heartbeats.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/membership/Heartbeats.java
@@ -28,16 +28,16 @@
   /** The path on which a proxy asks for the whole configuration. */
   public static final String SNAPSHOT_PATH = "/peer/configuration";
 
-  /** The time between two rounds, in milliseconds. */
-  public static final long INTERVAL_MS = 1_000;
-
   /** The proxies that one round exchanges heartbeats with, besides those that just failed. */
   public static final int FANOUT = 1;
 
-  /** The bytes a second that this proxy's heartbeats may take, both directions together. */
-  public static final int BUDGET_BYTES_PER_SECOND = 2_000;
+  /** The bytes a second that heartbeats may take in a large fleet, both directions together. */
+  public static final int BUDGET_BYTES_PER_SECOND = 1_500;
 
   private static final EventLog LOG = EventLog.of(Heartbeats.class);
+  private static final int SMALL_FLEET_PROXIES = 16;
+  private static final long SMALL_FLEET_INTERVAL_MS = 1_000;
+  private static final long LARGE_FLEET_INTERVAL_MS = 2_000;
   private static final int MAX_ANNOUNCEMENTS = 6;
   private static final long TIMEOUT_MS = 800;
   private static final int MAX_ROW_CHARS = 8_192;
@@ -72,6 +72,16 @@
     routes.add(SNAPSHOT_PATH, SnapshotQuery.class, this::snapshot);
   }
 
+  /**
+   * Returns the time between two rounds.
+   *
+   * @param proxies the number of proxies
+   * @return the interval in milliseconds
+   */
+  public static long intervalMs(int proxies) {
+    return proxies <= SMALL_FLEET_PROXIES ? SMALL_FLEET_INTERVAL_MS : LARGE_FLEET_INTERVAL_MS;
+  }
+
   /** Exchanges heartbeats with the next proxies. */
   public synchronized void round() {
     List<Vm> again = List.copyOf(retries);
@@ -82,17 +92,24 @@
     }
   }
 
-  /** Each proxy has its turn once before any has it again, in an order drawn anew. */
+  /**
+   * Returns whose turn it is: each proxy once before any again, in an order drawn anew, and a seed
+   * while no other proxy is live.
+   */
   private List<Vm> next() {
     List<Vm> partners = membership.partners();
-    if (partners.isEmpty()) {
-      return seeds.isEmpty() ? List.of() : List.of(seeds.get(membership.draw(seeds.size())));
+    List<Vm> next = new ArrayList<>();
+    if (membership.fleetSize() == 1 && !seeds.isEmpty()) {
+      next.add(seeds.get(membership.draw(seeds.size())));
     }
     queue.removeIf(vm -> !partners.contains(vm));
     if (queue.isEmpty()) {
       queue.addAll(partners);
     }
-    return List.of(queue.remove(membership.draw(queue.size())));
+    if (!queue.isEmpty()) {
+      next.add(queue.remove(membership.draw(queue.size())));
+    }
+    return next;
   }
 
   /**
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
@@ -99,7 +99,11 @@
             clock,
             () -> VmListPoll.pollIntervalMs(membership.fleetSize()),
             list::poll),
-        new Periodic("heartbeat", clock, () -> Heartbeats.INTERVAL_MS, heartbeats::round));
+        new Periodic(
+            "heartbeat",
+            clock,
+            () -> Heartbeats.intervalMs(membership.fleetSize()),
+            heartbeats::round));
   }
 
   /**
--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
@@ -9,7 +9,9 @@
 import io.lycheejunction.core.port.PlatformTable.Row;
 import io.lycheejunction.core.result.Outcome;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.proxy.configuration.AppliedLog;
 import io.lycheejunction.proxy.configuration.ConfigurationLog;
+import io.lycheejunction.proxy.configuration.LogRow;
 import io.lycheejunction.standin.model.FaultInjector;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -291,6 +293,17 @@
       assertStops("x".repeat(ChangeRow.MAX_ROW_CHARS + 1), "characters");
     }
 
+    @Test
+    void shouldHealWhenBadRowCameFromPeerOnly() {
+      createGroup();
+      AppliedLog applied = node("vm-b").control().configuration();
+      assertEquals(AppliedLog.Offer.POISONED, applied.offer(new LogRow(2, "{")));
+      assertCode(ResultCode.DONE, node("vm-a").run("drain target a1"));
+      node("vm-b").control().log().poll();
+      assertEquals(2, node("vm-b").version());
+      assertEquals(Optional.empty(), applied.poison());
+    }
+
     @Test
     void shouldStopAndServeWhenRowIsMissing() {
       createGroup();
