--- a/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
@@ -136,6 +136,19 @@
       assertEquals(List.of("t1 silent"), watch.unreachable);
     }
 
+    @Test
+    void shouldNotSuspectTargetWhenItAnsweredOthersMeanwhile() {
+      targets.script =
+          request -> {
+            targets.script = null;
+            value(fixture.first.execute(write("t1")));
+            return new TargetReply.Unknown("slow");
+          };
+      assertEquals(
+          Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write("t1"))));
+      assertEquals(List.of(), watch.unreachable);
+    }
+
     @Test
     void shouldReuseConnectionWhenTargetRefuses() {
       targets.script = request -> new TargetReply.NotRun(Fault.of(ResultCode.BAD_STATEMENT, "bad"));
@@ -196,6 +209,14 @@
       assertEquals(at(1, 11), answer.position());
     }
 
+    @Test
+    void shouldNotWaitAgainWhenReplicaLagged() {
+      fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
+      long beforeMs = fixture.clock.monotonicMs();
+      fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
+      assertEquals(beforeMs, fixture.clock.monotonicMs());
+    }
+
     @Test
     void shouldCompareTermFirstWhenReplicaHasLongerOldLog() {
       watch.applied = at(1, 99);
@@ -276,6 +297,16 @@
       assertEquals(List.of(at(1, 11)), watch.confirmedPositions);
     }
 
+    @Test
+    void shouldConfirmInCurrentTermWhenKeyWasRecordedInEarlierOne() {
+      watch.view = new GroupView("g", 3, Optional.of("t1"), at(3, 20));
+      targets.keyOutcome = Result.success(new KeyOutcome.Recorded(at(1, 4), List.of("row")));
+      KeyAnswer answer =
+          value(fixture.first.outcome(new KeyQuery("g", "t1", 3, "key", false, 1_000)));
+      assertEquals(at(1, 4), answer.position());
+      assertEquals(List.of(at(3, 1)), watch.confirmedPositions);
+    }
+
     @Test
     void shouldStayUnknownWhenCancelIsNotReceived() {
       targets.keyOutcome = Result.success(new KeyOutcome.Cancelled(at(1, 11)));
