--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/Adapters.java
@@ -0,0 +1,68 @@
+package io.lycheejunction.proxy;
+
+import io.lycheejunction.common.http.HttpCaller;
+import io.lycheejunction.core.port.PeerTransport;
+import io.lycheejunction.core.port.TargetPort;
+import io.lycheejunction.proxy.forward.HttpPeerTransport;
+import io.lycheejunction.proxy.forward.PeerRoutes;
+import io.lycheejunction.proxy.operator.Control;
+import io.lycheejunction.proxy.platform.HttpObjectStore;
+import io.lycheejunction.proxy.platform.HttpPlatformTable;
+import io.lycheejunction.proxy.platform.HttpVmDirectory;
+import io.lycheejunction.proxy.platform.PlatformCalls;
+import io.lycheejunction.proxy.target.HttpTargetPort;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What reaches targets, the platform and other proxies.
+ *
+ * @param targets reaches targets
+ * @param transport sends messages to other proxies
+ * @param routes receives messages from other proxies
+ * @param ports what configuration and membership reach
+ */
+record Adapters(
+    TargetPort targets, PeerTransport transport, PeerRoutes routes, Control.Ports ports) {
+  private static final long PLATFORM_TIMEOUT_MS = 1_000;
+
+  /** Rejects null components. */
+  Adapters {
+    Objects.requireNonNull(targets, "targets is null");
+    Objects.requireNonNull(transport, "transport is null");
+    Objects.requireNonNull(routes, "routes is null");
+    Objects.requireNonNull(ports, "ports is null");
+  }
+
+  /**
+   * Returns the adapters that send from the proxy's own address.
+   *
+   * @param settings the proxy's settings
+   * @return the adapters
+   */
+  static Adapters of(ProxySettings settings) {
+    HttpCaller http = HttpCaller.plain(Optional.of(address(settings.ip())));
+    PeerRoutes routes = new PeerRoutes();
+    PeerTransport transport = new HttpPeerTransport(http, List.of());
+    PlatformCalls calls = new PlatformCalls(http, settings.platform(), PLATFORM_TIMEOUT_MS);
+    Control.Ports ports =
+        new Control.Ports(
+            new HttpPlatformTable(calls),
+            new HttpObjectStore(calls),
+            new HttpVmDirectory(calls),
+            transport,
+            routes);
+    return new Adapters(new HttpTargetPort(http), transport, routes, ports);
+  }
+
+  private static InetAddress address(String ip) {
+    try {
+      return InetAddress.getByName(ip);
+    } catch (UnknownHostException e) {
+      throw new IllegalArgumentException("not an IP address: " + ip, e);
+    }
+  }
+}
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyMain.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyMain.java
@@ -7,15 +7,13 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.session.TokenCodec;
 import io.lycheejunction.proxy.caller.CallerSettings;
+import io.lycheejunction.proxy.operator.Signals;
 import java.nio.charset.StandardCharsets;
-import java.util.List;
-import sun.misc.Signal;
 
 /** Starts {@code lycheejunction-proxy}. */
 public final class ProxyMain {
   private static final EventLog LOG = EventLog.of(ProxyMain.class);
   private static final int EXIT_FAILED = 1;
-  private static final List<String> SIGNALS = List.of("TERM", "INT");
   private static final Program PROGRAM =
       new Program("lycheejunction-proxy", "[flags]", ProxySettings.ALL);
 
@@ -42,9 +40,8 @@
 
   private static int serve(Settings settings, TokenCodec tokens) {
     ProxySettings own = ProxySettings.of(settings);
-    ProxyTree tree = ProxyTree.of(own, tokens, new SystemRuntimeClock());
-    SIGNALS.forEach(
-        name -> Signal.handle(new Signal(name), signal -> tree.shutdown().begin("SIG" + name)));
+    ProxyTree tree = new ProxyTree(own, tokens, new SystemRuntimeClock());
+    Signals.handle(tree.shutdown());
     try {
       tree.root().start();
       LOG.info("proxy_started", "vm", own.vm(), "listen", own.listen());
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
@@ -17,6 +17,7 @@
  * @param listen the address that the proxy listens on, as {@code ip:port}
  * @param platform the address of the platform's services, as {@code ip:port}
  * @param seeds addresses of other proxies, as {@code ip:port}, for a start without the platform
+ * @param noticeMs the time that the balancer needs to notice a shutdown, in milliseconds
  * @param callers the limits on callers' requests
  */
 public record ProxySettings(
@@ -25,6 +26,7 @@
     String listen,
     String platform,
     List<String> seeds,
+    long noticeMs,
     CallerLimits callers) {
   /** The flag of the VM's name. */
   public static final String VM = "vm";
@@ -33,6 +35,9 @@
   private static final String LISTEN = "listen";
   private static final String PLATFORM = "platform";
   private static final String PEERS = "peers";
+  private static final String NOTICE_MS = "shutdown-notice-ms";
+  private static final long MAX_NOTICE_MS = 60_000;
+  private static final long DEFAULT_NOTICE_MS = 1_000;
 
   /** The settings that the program knows. */
   public static final List<Setting> ALL =
@@ -43,7 +48,13 @@
                   Setting.address(LISTEN, "ip:port to listen on, which other proxies reach"),
                   Setting.address(PLATFORM, "ip:port of the platform's services"),
                   Setting.text(
-                      PEERS, "", "ip:port of other proxies, with commas, if the platform is down")),
+                      PEERS, "", "ip:port of other proxies, with commas, if the platform is down"),
+                  Setting.number(
+                      NOTICE_MS,
+                      0,
+                      MAX_NOTICE_MS,
+                      DEFAULT_NOTICE_MS,
+                      "time for the balancer to notice a shutdown")),
               CallerSettings.ALL.stream())
           .toList();
 
@@ -70,6 +81,7 @@
         settings.text(LISTEN),
         settings.text(PLATFORM),
         Arrays.stream(settings.text(PEERS).split(",")).filter(a -> !a.isEmpty()).toList(),
+        settings.number(NOTICE_MS),
         CallerSettings.limits(settings));
   }
 
