Test relays to a cut domain with 60 proxies

Cause: the spread of rows to a domain without the platform had a test with three proxies only. Change: the same with 60, of which 20 are cut from the platform, bounded at four rounds of heartbeats.

--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/ConfigurationFaultsTest.java
@@ -21,6 +21,8 @@
 import org.junit.jupiter.api.Test;
 
 class ConfigurationFaultsTest {
+  private static final int MAX_RELAY_ROUNDS = 4;
+
   private final Once faults = new Once();
   private final Fleet fleet = Fleet.of(faults);
 
@@ -173,6 +175,23 @@
       assertEquals(List.of(2L, 2L, 2L), fleet.versions());
     }
 
+    @Test
+    void shouldReachCutDomainInFewRoundsWhenFleetHas60Proxies() {
+      List<String> domains = List.of("ikeja", "lekki", "apapa");
+      for (int i = 3; i < 60; i++) {
+        fleet.listed("vm-" + i, domains.get(i % 3));
+      }
+      fleet.nodes.values().forEach(node -> node.control().list().poll());
+      fleet.links.cutPlatform("lekki");
+      assertCode(ResultCode.DONE, node("vm-a").run(Fleet.GROUP));
+      int rounds = 0;
+      while (fleet.versions().contains(0L) && rounds < MAX_RELAY_ROUNDS) {
+        fleet.round();
+        rounds++;
+      }
+      assertFalse(fleet.versions().contains(0L), fleet.versions().toString());
+    }
+
     @Test
     void shouldNameUnreachedWhenDomainIsCutFromAll() {
       createGroup();
--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/Fleet.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/Fleet.java
@@ -75,7 +75,7 @@
 
   /** Starts a proxy, in place of one of the same name. */
   Node start(String name, String domain, List<String> seeds, List<Drainable> parts) {
-    Vm vm = new Vm(name, Vm.Kind.ENTRY, domain, "10.0.0." + name.charAt(3) + ":1", false);
+    Vm vm = new Vm(name, Vm.Kind.ENTRY, domain, address(name), false);
     PeerRoutes routes = new PeerRoutes();
     ModelPlatform reached = new ModelPlatform(domain, platform, links, faults, clock);
     Control.Ports ports = new Control.Ports(reached, reached, reached, new Loop(domain), routes);
@@ -95,6 +95,12 @@
     return node;
   }
 
+  /** Names that differ after their first letter share an address; numbered ones do not. */
+  private static String address(String name) {
+    String suffix = name.substring(3);
+    return suffix.matches("\\d+") ? "10.0.1." + suffix + ":1" : "10.0.0." + suffix.charAt(0) + ":1";
+  }
+
   Node node(String name) {
     return nodes.get(name);
   }
