--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
@@ -2,7 +2,6 @@
 
 import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.core.group.GroupWatch;
-import io.lycheejunction.core.language.Statement.Subject;
 import io.lycheejunction.core.port.ObjectStore;
 import io.lycheejunction.core.port.PeerTransport;
 import io.lycheejunction.core.port.PlatformTable;
@@ -144,15 +143,12 @@
   }
 
   /**
-   * Adds the metrics of these parts, and the table of refused requests.
+   * Adds the metrics of these parts.
    *
    * @param registry keeps the meters
-   * @param tables receives the table
    */
-  public void watch(MeterRegistry registry, Tables tables) {
+  public void watch(MeterRegistry registry) {
     ControlMetrics.bind(registry, log, membership);
-    RefusedTable refused = new RefusedTable(registry);
-    tables.add(Subject.REFUSED, refused::table);
   }
 
   /**
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/ControlMetricsTest.java
@@ -0,0 +1,32 @@
+package io.lycheejunction.proxy.operator;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.lycheejunction.proxy.configuration.LogRow;
+import io.lycheejunction.standin.model.FaultInjector;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.junit.jupiter.api.Test;
+
+class ControlMetricsTest {
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+
+  private double gauge(String name) {
+    return registry.get("lycheejunction." + name).gauge().value();
+  }
+
+  @Test
+  void shouldRaiseAlarmsWhenRowIsPoisonedOrStoreIsDown() {
+    Fleet fleet = Fleet.of(FaultInjector.NONE);
+    Control control = fleet.node("vm-a").control();
+    control.watch(registry);
+    assertEquals(0, gauge("configuration.poisoned"));
+    assertEquals(1, gauge("configuration.store.up"));
+    assertEquals(3, gauge("proxies.live"));
+    control.configuration().offer(new LogRow(1, "{"));
+    fleet.platform.setDown(true);
+    control.log().poll();
+    assertEquals(1, gauge("configuration.poisoned"));
+    assertEquals(0, gauge("configuration.store.up"));
+    assertEquals(0, gauge("configuration.version"));
+  }
+}
