--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
@@ -122,8 +122,7 @@
             groups.watch(),
             holders,
             control.membership(),
-            new BudgetedResends(
-                new SharedRetryBudget(RetryBudget.full(RETRY_SHARE, RETRY_RESERVE))),
+            new SharedRetryBudget(RetryBudget.full(RETRY_SHARE, RETRY_RESERVE)),
             child(seeds),
             clock,
             settings.callers(),
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Reads.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Reads.java
@@ -159,12 +159,16 @@
         return new Round.Failed(last, false);
       }
       resend = !tellsOfData(last);
-      mayHeal = Healing.mayHeal(last) || !last.isNotRun();
+      mayHeal = view.primary().equals(Optional.of(target)) ? mayHealAtPrimary(last) : mayHeal;
       telling = resend ? telling : Optional.of(last);
     }
     return new Round.Failed(telling.orElse(last), mayHeal);
   }
 
+  private static boolean mayHealAtPrimary(Fault fault) {
+    return !fault.isNotRun() || fault.code() == ResultCode.NOT_FRESH || Healing.mayHeal(fault);
+  }
+
   private static boolean tellsOfData(Fault fault) {
     return fault.code() == ResultCode.AGE_NOT_PROVEN || fault.code() == ResultCode.NOT_FRESH;
   }
--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorReadTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorReadTest.java
@@ -130,6 +130,28 @@
       assertEquals(1, fixture.holders.statements.size());
     }
 
+    @Test
+    void shouldWaitForNewPrimaryWhenReplicasAreBehindAndPrimaryIsGone() {
+      fixture.clock.afterMs(600, () -> fixture.watch.set(CoordinatorFixture.NEXT_VIEW));
+      fixture.holders.onExecute =
+          s ->
+              switch (s.target()) {
+                case "t1" -> fault(ResultCode.TARGET_UNREACHABLE);
+                case "t2" -> s.term() == 2 ? row(s) : fault(ResultCode.NOT_FRESH);
+                default -> fault(ResultCode.NOT_FRESH);
+              };
+      Answer answer = fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
+      assertEquals(Optional.of("t2"), answer.target());
+    }
+
+    @Test
+    void shouldRefuseAtOnceWhenPrimaryCannotProveAge() {
+      fixture.holders.onExecute = s -> fault(ResultCode.AGE_NOT_PROVEN);
+      Answer answer = fixture.coordinator.execute(fixture.read(token(OLD), Optional.of(100L)));
+      assertEquals(ResultCode.AGE_NOT_PROVEN, answer.code());
+      assertEquals(0, fixture.clock.monotonicMs());
+    }
+
     @Test
     void shouldSayThatAgeIsNotProvenWhenPrimaryIsUnreachable() {
       fixture.holders.onExecute =
