Confirm recorded answers of earlier terms and test holders on the group model

Cause: GroupWatch confirms positions of the current term only, so that a key recorded before a failover stayed unknown; a planned hand-over rolled back open transactions. Change: an answer of an earlier term is confirmed by the receipt of an entry of the current one; NO_PRIMARY leaves a transaction open; HolderFailoverTest runs holders, group watchers and the group model through cuts and failovers.

--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/Acknowledgement.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/Acknowledgement.java
@@ -48,11 +48,21 @@
   private Result<GroupView> confirm(
       String group, long term, Durability durability, LogPosition position, Deadline deadline) {
     return switch (durability) {
-      case MAJORITY -> watch.confirmReceived(group, position, deadline.remainingMs());
+      case MAJORITY -> watch.confirmReceived(group, inTerm(position, term), deadline.remainingMs());
       case PRIMARY -> watch.confirmTerm(group, term, deadline.remainingMs());
     };
   }
 
+  /**
+   * Returns a position of the term that includes the given one.
+   *
+   * <p>A recorded answer may come from an earlier term. The primary's log holds it before the first
+   * entry of the primary's own term, so whoever has received an entry of that term has it too.
+   */
+  private static LogPosition inTerm(LogPosition position, long term) {
+    return position.term() < term ? new LogPosition(term, 1) : position;
+  }
+
   private static Result<GroupView> unknown(String detail) {
     return Result.failure(ResultCode.UNKNOWN_OUTCOME, "executed but not confirmed: " + detail);
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
@@ -226,7 +226,7 @@
   }
 
   private static boolean isReplaced(Fault fault) {
-    return fault.code() == ResultCode.NOT_PRIMARY || fault.code() == ResultCode.NO_PRIMARY;
+    return fault.code() == ResultCode.NOT_PRIMARY;
   }
 
   private static Optional<Fault> passed(Deadline deadline) {
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/HolderFailoverTest.java
@@ -0,0 +1,120 @@
+package io.lycheejunction.proxy.holder;
+
+import static io.lycheejunction.proxy.holder.HolderFixture.code;
+import static io.lycheejunction.proxy.holder.HolderFixture.value;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.Optional;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Runs holders and group watchers together over a model of a group. */
+class HolderFailoverTest {
+  private final ModelFixture fixture = new ModelFixture();
+  private String primary;
+  private String primaryDomain;
+  private String otherDomain;
+
+  @BeforeEach
+  void awaitPrimary() {
+    fixture.run(3_000);
+    primary = fixture.view("a").primary().orElseThrow();
+    primaryDomain = primary.substring(2);
+    otherDomain = primaryDomain.equals("a") ? "b" : "a";
+  }
+
+  private KeyAnswer outcome(String domain, String key) {
+    return value(
+        fixture
+            .holders
+            .get(domain)
+            .outcome(
+                new KeyQuery(
+                    ModelFixture.GROUP,
+                    fixture.view(domain).primary().orElseThrow(),
+                    fixture.view(domain).term(),
+                    key,
+                    true,
+                    1_000)));
+  }
+
+  @Nested
+  class PrimaryCutOff {
+    @Test
+    void shouldNeverAcknowledgeWriteOfCutOffPrimary() {
+      value(fixture.write(otherDomain, "before", 1_000));
+      fixture.cut(primaryDomain);
+      for (int i = 0; i < 5; i++) {
+        Result<HeldAnswer> result = fixture.write(primaryDomain, "cut" + i, 100);
+        assertTrue(result.isEmpty(), "acknowledged by a cut-off primary");
+        fixture.run(200);
+      }
+      Optional<ResultCode> later = code(fixture.write(primaryDomain, "late", 100));
+      assertTrue(
+          Set.of(ResultCode.MAJORITY_LOST, ResultCode.NO_PRIMARY).contains(later.orElseThrow()),
+          later::toString);
+    }
+
+    @Test
+    void shouldKeepAcknowledgedWriteWhenAnotherPrimaryTakesOver() {
+      final LogPosition position = value(fixture.write(otherDomain, "kept", 1_000)).position();
+      fixture.cut(primaryDomain);
+      fixture.run(5_000);
+      String next = fixture.view(otherDomain).primary().orElseThrow();
+      assertNotEquals(primary, next);
+      assertEquals(KeyAnswer.State.RECORDED, outcome(otherDomain, "kept").state());
+      HeldAnswer read = value(fixture.read(otherDomain, next, position));
+      assertTrue(read.position().isAtLeast(position));
+      value(fixture.write(otherDomain, "after", 1_000));
+    }
+
+    @Test
+    void shouldSettleUnknownWriteAsCancelledWhenItsPrimaryWasReplaced() {
+      fixture.cut(primaryDomain);
+      Result<HeldAnswer> lost = fixture.write(primaryDomain, "lost", 100);
+      assertTrue(lost.isEmpty());
+      fixture.run(5_000);
+      assertEquals(KeyAnswer.State.CANCELLED, outcome(otherDomain, "lost").state());
+      fixture.links.healAll();
+      fixture.run(3_000);
+      Result<HeldAnswer> again = fixture.write(otherDomain, "lost", 1_000);
+      assertEquals(Optional.of(ResultCode.CANCELLED), code(again));
+    }
+
+    @Test
+    void shouldRefuseReadsOfCutOffDomainOnceAgeIsNotProven() {
+      fixture.write(otherDomain, "x", 1_000);
+      fixture.run(500);
+      fixture.cut(otherDomain);
+      String replica = "t-" + otherDomain;
+      value(fixture.read(otherDomain, replica, LogPosition.ORIGIN));
+      fixture.run(4_000);
+      Optional<ResultCode> late = code(fixture.read(otherDomain, replica, LogPosition.ORIGIN));
+      assertEquals(Optional.of(ResultCode.AGE_NOT_PROVEN), late);
+    }
+  }
+
+  @Nested
+  class PrimaryReturns {
+    @Test
+    void shouldNotServeDivergentSuffixWhenOldPrimaryIsBack() {
+      fixture.cut(primaryDomain);
+      fixture.write(primaryDomain, "divergent", 100);
+      fixture.run(5_000);
+      LogPosition position = value(fixture.write(otherDomain, "new", 1_000)).position();
+      fixture.links.healAll();
+      fixture.run(3_000);
+      HeldAnswer read = value(fixture.read(otherDomain, primary, position));
+      assertTrue(
+          read.rows().stream().noneMatch(row -> row.contains("divergent")), read.rows()::toString);
+      assertTrue(read.rows().stream().anyMatch(row -> row.contains("new")), read.rows()::toString);
+    }
+  }
+}
--- a/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
@@ -276,6 +276,16 @@
       assertEquals(List.of(at(1, 11)), watch.confirmedPositions);
     }
 
+    @Test
+    void shouldConfirmInCurrentTermWhenKeyWasRecordedInEarlierOne() {
+      watch.view = new GroupView("g", 3, Optional.of("t1"), at(3, 20));
+      targets.keyOutcome = Result.success(new KeyOutcome.Recorded(at(1, 4), List.of("row")));
+      KeyAnswer answer =
+          value(fixture.first.outcome(new KeyQuery("g", "t1", 3, "key", false, 1_000)));
+      assertEquals(at(1, 4), answer.position());
+      assertEquals(List.of(at(3, 1)), watch.confirmedPositions);
+    }
+
     @Test
     void shouldStayUnknownWhenCancelIsNotReceived() {
       targets.keyOutcome = Result.success(new KeyOutcome.Cancelled(at(1, 11)));
