Share status calls, spare slow targets and retire replaced pools

Cause: each waiting read asked a lagging replica by itself; a slow target with short deadlines could trip the breaker; a target with a new address left its old pool open; a floor round could outlast its caller's deadline.

--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTarget.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTarget.java
@@ -8,11 +8,13 @@
 import io.lycheejunction.core.port.TargetConnection;
 import io.lycheejunction.core.port.TargetPort;
 import io.lycheejunction.core.port.TargetReply;
+import io.lycheejunction.core.port.TargetStatus;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
 import java.util.function.LongFunction;
@@ -35,8 +37,12 @@
   private final TargetPool pool;
   private final TargetBreaker breaker;
   private final AtomicReference<LogPosition> seen = new AtomicReference<>(LogPosition.ORIGIN);
+  private final AtomicLong answers = new AtomicLong();
+  private final SharedRound<TargetStatus> statusRound;
   private final long heldSinceMs;
+  private final RuntimeClock clock;
   private volatile PoolLimits limits;
+  private volatile long laggedUntilMs = Long.MIN_VALUE;
 
   HeldTarget(
       String group,
@@ -51,12 +57,14 @@
     this.spec = spec;
     this.limits = limits;
     this.watch = watch;
+    this.clock = clock;
     this.metrics = metrics;
     this.connectTimeoutMs = settings.connectTimeoutMs();
     this.slots = new Admission(clock, limits.slots(), settings.queueCapacity());
     this.sessions = new Admission(clock, limits.transactions(), settings.queueCapacity());
     this.pool = new TargetPool(opener(port), clock, limits.connections());
     this.breaker = new TargetBreaker(spec.name(), clock);
+    this.statusRound = new SharedRound<>(leader -> port.status(spec, leader.remainingMs()));
     this.heldSinceMs = clock.monotonicMs();
   }
 
@@ -91,6 +99,27 @@
     return seen.get();
   }
 
+  /** Returns the target's status after this call; concurrent calls share it. */
+  Result<TargetStatus> status(Deadline deadline) {
+    Result<TargetStatus> status = statusRound.call(deadline);
+    if (status instanceof Result.Success<TargetStatus> success) {
+      seen.accumulateAndGet(success.value().applied(), LogPosition::max);
+    }
+    return status;
+  }
+
+  /** Returns whether a short wait for the target's data is worthwhile. */
+  boolean isCatchingUp() {
+    return clock.monotonicMs() >= laggedUntilMs;
+  }
+
+  /** Records that a wait for the target's data was in vain. */
+  void lagged(long durationMs) {
+    if (isCatchingUp()) {
+      laggedUntilMs = clock.monotonicMs() + durationMs;
+    }
+  }
+
   void resize(PoolLimits newLimits) {
     if (newLimits.equals(limits)) {
       return;
@@ -197,6 +226,7 @@
       return Result.failure(
           new Fault(ResultCode.CIRCUIT_OPEN, spec.name(), breaker.retryAfterMs()));
     }
+    long answersBefore = answers.get();
     TargetReply reply;
     try {
       reply = call.apply(connection);
@@ -207,7 +237,7 @@
     }
     return switch (reply) {
       case TargetReply.Answered answered -> {
-        breaker.answered();
+        answered();
         seen.accumulateAndGet(answered.position(), LogPosition::max);
         yield Result.success(answered);
       }
@@ -216,20 +246,34 @@
         yield Result.failure(fault);
       }
       case TargetReply.Unknown(String detail) -> {
-        breaker.silent();
         connection.close();
-        watch.unreachable(group, spec.name(), false);
+        silent(answersBefore);
         yield Result.failure(ResultCode.UNKNOWN_OUTCOME, spec.name() + ": " + detail);
       }
     };
   }
 
+  private void answered() {
+    answers.incrementAndGet();
+    breaker.answered();
+  }
+
+  /** A target that answered others meanwhile is slow, not out of reach. */
+  private void silent(long answersBefore) {
+    if (answers.get() != answersBefore) {
+      breaker.unused();
+      return;
+    }
+    breaker.silent();
+    watch.unreachable(group, spec.name(), false);
+  }
+
   private void notRun(Fault fault) {
     if (fault.code() == ResultCode.TARGET_UNREACHABLE) {
       breaker.silent();
       watch.unreachable(group, spec.name(), fault.detail().startsWith("refused"));
       return;
     }
-    breaker.answered();
+    answered();
   }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTargets.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/HeldTargets.java
@@ -128,8 +128,15 @@
     }
     return held.compute(
         spec.name(),
-        (name, current) ->
-            current != null && current.spec().equals(spec) ? current : create(group, spec));
+        (name, current) -> {
+          if (current != null && current.spec().equals(spec)) {
+            return current;
+          }
+          if (current != null) {
+            current.retire(MOVED);
+          }
+          return create(group, spec);
+        });
   }
 
   private HeldTarget create(GroupSpec group, TargetSpec spec) {
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalFloors.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalFloors.java
@@ -1,6 +1,5 @@
 package io.lycheejunction.proxy.holder;
 
-import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.core.configuration.Durability;
 import io.lycheejunction.core.configuration.TargetSpec;
 import io.lycheejunction.core.group.GroupView;
@@ -22,26 +21,18 @@
  * in a confirmed term. Concurrent calls for a group share one round.
  */
 final class LocalFloors {
-  private static final long ROUND_TIMEOUT_MS = 2_000;
-
   private final HeldTargets targets;
   private final GroupWatch watch;
   private final TargetPort port;
   private final Acknowledgement acknowledgement;
-  private final RuntimeClock clock;
   private final Map<String, SharedRound<LogPosition>> rounds = new ConcurrentHashMap<>();
 
   LocalFloors(
-      HeldTargets targets,
-      GroupWatch watch,
-      TargetPort port,
-      Acknowledgement acknowledgement,
-      RuntimeClock clock) {
+      HeldTargets targets, GroupWatch watch, TargetPort port, Acknowledgement acknowledgement) {
     this.targets = targets;
     this.watch = watch;
     this.port = port;
     this.acknowledgement = acknowledgement;
-    this.clock = clock;
   }
 
   /** Returns the position, or {@code NOT_HOLDER} if another proxy holds the primary. */
@@ -55,12 +46,12 @@
         .flatMap(
             held ->
                 rounds
-                    .computeIfAbsent(group, name -> new SharedRound<>(() -> round(name)))
+                    .computeIfAbsent(
+                        group, name -> new SharedRound<>(leader -> round(name, leader)))
                     .call(deadline));
   }
 
-  private Result<LogPosition> round(String group) {
-    Deadline deadline = Deadline.in(clock, ROUND_TIMEOUT_MS);
+  private Result<LogPosition> round(String group, Deadline deadline) {
     GroupView view = watch.view(group);
     return watch
         .confirmTerm(group, view.term(), deadline.remainingMs())
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalHolder.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalHolder.java
@@ -43,8 +43,7 @@
     HeldTargets targets =
         new HeldTargets(configuration, peers, port, watch, clock, settings, metrics, warmUps);
     Freshness freshness = new Freshness(watch, settings.confirmMs());
-    ReplicaReads reads =
-        new ReplicaReads(targets, peers, watch, port, freshness, ids, settings, metrics);
+    ReplicaReads reads = new ReplicaReads(targets, peers, watch, freshness, ids, settings, metrics);
     TransactionSteps steps = new TransactionSteps(watch, acknowledgement, ids, metrics);
     FinishedTransactions finished =
         new FinishedTransactions(clock, settings.finishedTransactionMs());
@@ -53,7 +52,7 @@
         new LocalStatements(targets, peers, watch, acknowledgement, reads, ids, metrics),
         new LocalTransactions(targets, peers, watch, clock, ids, steps, finished),
         new LocalOutcomes(targets, watch, port, acknowledgement),
-        new LocalFloors(targets, watch, port, acknowledgement, clock),
+        new LocalFloors(targets, watch, port, acknowledgement),
         metrics);
   }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/ReplicaReads.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/ReplicaReads.java
@@ -7,7 +7,6 @@
 import io.lycheejunction.core.port.Access;
 import io.lycheejunction.core.port.Peers;
 import io.lycheejunction.core.port.Role;
-import io.lycheejunction.core.port.TargetPort;
 import io.lycheejunction.core.port.TargetReply;
 import io.lycheejunction.core.port.TargetRequest;
 import io.lycheejunction.core.port.TargetStatus;
@@ -27,7 +26,6 @@
   private final HeldTargets targets;
   private final Peers peers;
   private final GroupWatch watch;
-  private final TargetPort port;
   private final Freshness freshness;
   private final CorrelationIds correlationIds;
   private final HolderSettings settings;
@@ -37,7 +35,6 @@
       HeldTargets targets,
       Peers peers,
       GroupWatch watch,
-      TargetPort port,
       Freshness freshness,
       CorrelationIds correlationIds,
       HolderSettings settings,
@@ -45,7 +42,6 @@
     this.targets = targets;
     this.peers = peers;
     this.watch = watch;
-    this.port = port;
     this.freshness = freshness;
     this.correlationIds = correlationIds;
     this.settings = settings;
@@ -70,17 +66,19 @@
       return Result.success(known);
     }
     long waitMs = deadline.remainingMs(settings.catchUpMs());
+    boolean mayWait = held.isCatchingUp();
     Deadline waitUntil = Deadline.in(deadline.clock(), waitMs);
     while (!waitUntil.isPassed()) {
-      Result<TargetStatus> status = port.status(held.spec(), waitUntil.remainingMs());
+      Result<TargetStatus> status = held.status(waitUntil);
       if (status instanceof Result.Success<TargetStatus> success
           && success.value().applied().isAtLeast(read.floor())) {
         return Result.success(success.value().applied());
       }
-      if (!waitUntil.sleepMs(waitUntil.remainingMs(settings.catchUpStepMs()))) {
+      if (!mayWait || !waitUntil.sleepMs(waitUntil.remainingMs(settings.catchUpStepMs()))) {
         break;
       }
     }
+    held.lagged(settings.lagMs());
     return Result.failure(
         ResultCode.NOT_FRESH, read.target() + " has not applied the required position");
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/SharedRound.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/SharedRound.java
@@ -4,24 +4,24 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
-import java.util.function.Supplier;
+import java.util.function.Function;
 
 /**
  * Lets concurrent callers share the result of a step that started after each of their calls; safe
  * for concurrent use.
  *
- * <p>The step runs on the thread of one of the callers.
+ * <p>The step runs on the thread of one of the callers and gets that caller's deadline.
  *
  * @param <T> the type of the result's value
  */
 final class SharedRound<T> {
-  private final Supplier<Result<T>> step;
+  private final Function<Deadline, Result<T>> step;
   private long started;
   private long finished;
   private Result<T> latest;
   private CountDownLatch running = new CountDownLatch(0);
 
-  SharedRound(Supplier<Result<T>> step) {
+  SharedRound(Function<Deadline, Result<T>> step) {
     this.step = Objects.requireNonNull(step, "step is null");
   }
 
@@ -34,7 +34,7 @@
         return shared.get();
       }
       if (tryStart()) {
-        return run();
+        return run(deadline);
       }
       if (!awaitRunning(deadline)) {
         break;
@@ -60,10 +60,10 @@
     return true;
   }
 
-  private Result<T> run() {
+  private Result<T> run(Deadline deadline) {
     Result<T> result = Deadline.exceeded();
     try {
-      result = step.get();
+      result = step.apply(deadline);
       return result;
     } finally {
       finish(result);
--- a/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
@@ -136,6 +136,19 @@
       assertEquals(List.of("t1 silent"), watch.unreachable);
     }
 
+    @Test
+    void shouldNotSuspectTargetWhenItAnsweredOthersMeanwhile() {
+      targets.script =
+          request -> {
+            targets.script = null;
+            value(fixture.first.execute(write("t1")));
+            return new TargetReply.Unknown("slow");
+          };
+      assertEquals(
+          Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.execute(write("t1"))));
+      assertEquals(List.of(), watch.unreachable);
+    }
+
     @Test
     void shouldReuseConnectionWhenTargetRefuses() {
       targets.script = request -> new TargetReply.NotRun(Fault.of(ResultCode.BAD_STATEMENT, "bad"));
@@ -196,6 +209,14 @@
       assertEquals(at(1, 11), answer.position());
     }
 
+    @Test
+    void shouldNotWaitAgainWhenReplicaLagged() {
+      fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
+      long beforeMs = fixture.clock.monotonicMs();
+      fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
+      assertEquals(beforeMs, fixture.clock.monotonicMs());
+    }
+
     @Test
     void shouldCompareTermFirstWhenReplicaHasLongerOldLog() {
       watch.applied = at(1, 99);
--- a/proxy/src/test/java/io/lycheejunction/proxy/holder/SharedRoundTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/SharedRoundTest.java
@@ -25,7 +25,8 @@
 
   @Test
   void shouldRunAgainWhenCallsFollowEachOther() {
-    SharedRound<Integer> round = new SharedRound<>(() -> Result.success(steps.incrementAndGet()));
+    SharedRound<Integer> round =
+        new SharedRound<>(leader -> Result.success(steps.incrementAndGet()));
     assertEquals(1, round.call(deadline()).getOrElse(0));
     assertEquals(2, round.call(deadline()).getOrElse(0));
   }
@@ -36,7 +37,7 @@
     CountDownLatch go = new CountDownLatch(1);
     SharedRound<Integer> round =
         new SharedRound<>(
-            () -> {
+            leader -> {
               started.countDown();
               awaitUninterrupted(go);
               return Result.success(steps.incrementAndGet());
