--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorFixture.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CoordinatorFixture.java
@@ -15,6 +15,8 @@
 import io.lycheejunction.core.port.Vm;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.retry.RetryBudget;
+import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.proxy.holder.HeldAnswer;
@@ -47,21 +49,21 @@
   final Coordinator coordinator;
 
   CoordinatorFixture() {
-    this(CallerLimits.defaults());
+    this(CallerLimits.defaults(), new CallerMetrics(new SimpleMeterRegistry()));
   }
 
-  CoordinatorFixture(CallerLimits limits) {
+  CoordinatorFixture(CallerLimits limits, CallerMetrics metrics) {
     coordinator =
         new Coordinator(
             source(),
             watch,
             holders,
             new OnePeer(),
-            new UnlimitedResends(),
+            new SharedRetryBudget(RetryBudget.full(0.1, 1_000)),
             new Random(7),
             clock,
             limits,
-            new CallerMetrics(new SimpleMeterRegistry()));
+            metrics);
   }
 
   static ConfigurationSource source() {
@@ -90,17 +92,6 @@
     };
   }
 
-  /** A budget that never runs out. */
-  private static final class UnlimitedResends implements Resends {
-    @Override
-    public void recordFirst() {}
-
-    @Override
-    public boolean tryResend() {
-      return true;
-    }
-  }
-
   /** Knows only this proxy, in the failure domain lekki. */
   private static final class OnePeer implements Peers {
     private static final Vm SELF = new Vm("vm-a", Vm.Kind.ENTRY, "lekki", "127.0.0.1:9", false);
