Hand over only from close by, and check acknowledged writes under random faults

Cause: a hand-over to a lagging instance would have refused writes again and again, and a stale answer of a just promoted instance read as a vacant term. Change: the instance must be close before writes are refused; retries back off; a vacant term is probed again before a vote or a claim; seeded random faults check acknowledged writes against the logs.

--- a/proxy/src/main/java/io/lycheejunction/proxy/group/Confirmations.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/Confirmations.java
@@ -60,7 +60,8 @@
       if (isConfirmed(term)) {
         return checked(term);
       }
-      if (failedStartMs >= arrivalMs || clock.monotonicMs() - arrivalMs >= timeoutMs) {
+      long nowMs = clock.monotonicMs();
+      if (isFailing(nowMs) || nowMs - arrivalMs >= timeoutMs) {
         return majorityLost(spec);
       }
       MajorityTally tally = lead(spec, term, t -> t.isConfirmed(term), Optional.empty(), timeoutMs);
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/Failover.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/Failover.java
@@ -96,7 +96,8 @@
     guarded(
         spec,
         () -> {
-          if (preVotes.isGranted(spec) && !isStale(spec)) {
+          GroupState state = states.of(spec.name());
+          if (preVotes.isGone(spec, state) && preVotes.isGranted(spec) && !isStale(spec)) {
             return claim(spec, Optional.empty(), "primary " + sight.name());
           }
           track(spec).denied(clock.monotonicMs());
@@ -112,7 +113,7 @@
       return result;
     } finally {
       if (!ended) {
-        track(spec).lost(clock.monotonicMs(), random.nextDouble());
+        track(spec).lost(clock.monotonicMs(), jitter());
       }
     }
   }
@@ -154,7 +155,15 @@
   }
 
   private String claimant() {
-    return peers.self().name() + "-" + Long.toHexString(random.nextLong());
+    synchronized (random) {
+      return peers.self().name() + "-" + Long.toHexString(random.nextLong());
+    }
+  }
+
+  private double jitter() {
+    synchronized (random) {
+      return random.nextDouble();
+    }
   }
 
   private GroupView won(
@@ -186,7 +195,7 @@
 
   private Result<GroupView> lost(GroupSpec spec, long term, String why) {
     states.of(spec.name()).claimed(term);
-    track(spec).lost(clock.monotonicMs(), random.nextDouble());
+    track(spec).lost(clock.monotonicMs(), jitter());
     LOG.warn("claim_lost", "group", spec.name(), "term", term, "reason", why);
     return Result.failure(ResultCode.TERM_TAKEN, why);
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/GroupProbe.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/GroupProbe.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.core.configuration.ConfigurationSource;
 import io.lycheejunction.core.configuration.GroupSpec;
 import io.lycheejunction.core.configuration.TargetSpec;
+import io.lycheejunction.core.failover.PrimaryLoss;
 import io.lycheejunction.core.port.Peers;
 import io.lycheejunction.core.port.Vm;
 import io.lycheejunction.core.routing.HolderChoice;
@@ -65,7 +66,9 @@
   private boolean isDoubtful(GroupSpec spec, long nowMs) {
     GroupState state = states.of(spec.name());
     Optional<String> primary = state.view().primary();
-    return primary.isEmpty() || state.suspicion(primary.get(), nowMs).isDoubtful(nowMs);
+    return primary.isEmpty()
+        || state.suspicion(primary.get(), nowMs).isDoubtful(nowMs)
+        || state.sight(spec, nowMs) != PrimaryLoss.Sight.PRESENT;
   }
 
   private void probe(GroupSpec spec) {
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/GroupState.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/GroupState.java
@@ -1,5 +1,7 @@
 package io.lycheejunction.proxy.group;
 
+import io.lycheejunction.core.configuration.GroupSpec;
+import io.lycheejunction.core.failover.PrimaryLoss;
 import io.lycheejunction.core.failover.Suspicion;
 import io.lycheejunction.core.group.AckLease;
 import io.lycheejunction.core.group.Evidence;
@@ -140,6 +142,17 @@
     return Optional.ofNullable(statuses.get(target));
   }
 
+  /**
+   * Returns what this proxy sees of the group's primary.
+   *
+   * @param spec the group
+   * @param nowMs the monotonic time, in milliseconds
+   * @return the sight
+   */
+  synchronized PrimaryLoss.Sight sight(GroupSpec spec, long nowMs) {
+    return PrimaryLoss.of(spec, view.get(), statuses, target -> suspicion(target, nowMs), nowMs);
+  }
+
   synchronized AckLease lease() {
     return lease;
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/HandOver.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/HandOver.java
@@ -25,9 +25,11 @@
   static final String PATH = "/peer/freeze";
 
   private static final long FREEZE_MS = 1_500;
-  private static final long CATCH_UP_MS = 1_000;
+  private static final long CLOSE_MS = 1_000;
+  private static final long CATCH_UP_MS = 300;
   private static final long POLL_MS = 10;
   private static final long RETRY_MS = 1_000;
+  private static final long LONGEST_RETRY_MS = 30_000;
   private static final long PEER_TIMEOUT_MS = 150;
 
   private final GroupProbe probe;
@@ -39,7 +41,9 @@
   private final RuntimeClock clock;
   private final Fanout fanout;
   private final GroupSettings settings;
-  private final Map<String, Long> lastTryMs = new ConcurrentHashMap<>();
+  private final Map<String, Retry> retries = new ConcurrentHashMap<>();
+
+  private record Retry(long notBeforeMs, long pauseMs) {}
 
   HandOver(
       GroupProbe probe,
@@ -80,7 +84,11 @@
   /** Starts a hand-over for each group whose primary is leaving and held by this proxy. */
   void tick() {
     for (GroupSpec spec : probe.watched()) {
-      if (!isLeaving(spec) || !isDue(spec)) {
+      if (!isLeaving(spec)) {
+        retries.remove(spec.name());
+        continue;
+      }
+      if (!isDue(spec)) {
         continue;
       }
       candidate(spec)
@@ -104,11 +112,12 @@
 
   private boolean isDue(GroupSpec spec) {
     long nowMs = clock.monotonicMs();
-    Long last = lastTryMs.get(spec.name());
-    if (last != null && nowMs - last < RETRY_MS) {
+    Retry retry = retries.getOrDefault(spec.name(), new Retry(nowMs, RETRY_MS));
+    if (nowMs < retry.notBeforeMs()) {
       return false;
     }
-    lastTryMs.put(spec.name(), nowMs);
+    long nextPauseMs = Math.min(2 * retry.pauseMs(), LONGEST_RETRY_MS);
+    retries.put(spec.name(), new Retry(nowMs + retry.pauseMs(), nextPauseMs));
     return true;
   }
 
@@ -133,8 +142,8 @@
   }
 
   /**
-   * Returns the view after a planned promotion: new writes are refused, the instance catches up,
-   * and then a claim is made for it.
+   * Returns the view after a planned promotion: once the instance is close to the primary new
+   * writes are refused, the instance catches up, and a claim is made for it.
    *
    * @param spec the group
    * @param target the name of the instance
@@ -147,11 +156,14 @@
     if (before.primary().equals(Optional.of(target))) {
       return Result.success(before);
     }
+    if (!catchUp(spec, state, target, false, CLOSE_MS)) {
+      return Result.failure(ResultCode.NOT_FRESH, target + " is behind");
+    }
     Result<FreezeCall> frozen = freezeAtHolder(spec, before, FREEZE_MS);
     if (frozen instanceof Result.Failure(var fault)) {
       return Result.failure(fault);
     }
-    if (!catchUp(spec, state, target)) {
+    if (!catchUp(spec, state, target, true, CATCH_UP_MS)) {
       freezeAtHolder(spec, before, 0);
       return Result.failure(ResultCode.NOT_FRESH, target + " has not caught up in time");
     }
@@ -169,8 +181,14 @@
         : transport.call(holder.get(), PATH, call, FreezeCall.class, PEER_TIMEOUT_MS);
   }
 
-  private boolean catchUp(GroupSpec spec, GroupState state, String target) {
-    long untilMs = clock.monotonicMs() + CATCH_UP_MS;
+  /**
+   * Returns whether the instance reaches a position that the primary had at an earlier round.
+   *
+   * @param frozen true if the primary's position must also stand still between two rounds
+   */
+  private boolean catchUp(
+      GroupSpec spec, GroupState state, String target, boolean frozen, long timeoutMs) {
+    long untilMs = clock.monotonicMs() + timeoutMs;
     LogPosition seen = LogPosition.ORIGIN;
     while (clock.monotonicMs() < untilMs) {
       MajorityTally tally =
@@ -186,10 +204,12 @@
           Optional.ofNullable(tally.statuses().get(target))
               .map(TargetStatus::received)
               .orElse(LogPosition.ORIGIN);
-      if (end.isPresent() && end.get().equals(seen) && reached.isAtLeast(seen)) {
+      boolean known = !seen.equals(LogPosition.ORIGIN);
+      boolean stands = !frozen || end.equals(Optional.of(seen));
+      if (known && stands && reached.isAtLeast(seen)) {
         return true;
       }
-      seen = end.orElse(seen);
+      seen = frozen || !known ? end.orElse(seen) : seen;
       if (!sleep()) {
         return false;
       }
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/PreVotes.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/PreVotes.java
@@ -70,8 +70,16 @@
     return new PreVoteAnswer(gone, state.view());
   }
 
-  private boolean isGone(GroupSpec spec, GroupState state) {
-    if (sight(spec, state) != PrimaryLoss.Sight.PRESENT) {
+  /**
+   * Returns whether this proxy sees no primary, after it has asked the instances unless the primary
+   * is already known to be gone.
+   *
+   * @param spec the group
+   * @param state what is known of the group
+   * @return true if the primary is gone or there is none
+   */
+  boolean isGone(GroupSpec spec, GroupState state) {
+    if (sight(spec, state) == PrimaryLoss.Sight.GONE) {
       return true;
     }
     List<TargetSpec> asked =
@@ -88,9 +96,7 @@
    * @return the sight
    */
   PrimaryLoss.Sight sight(GroupSpec spec, GroupState state) {
-    long nowMs = clock.monotonicMs();
-    return PrimaryLoss.of(
-        spec, state.view(), state.statuses(), target -> state.suspicion(target, nowMs), nowMs);
+    return state.sight(spec, clock.monotonicMs());
   }
 
   /**
--- a/proxy/src/test/java/io/lycheejunction/proxy/group/GroupFixture.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/GroupFixture.java
@@ -39,6 +39,8 @@
 final class GroupFixture {
   static final String GROUP = "orders";
 
+  private static final long TICK_MS = 50;
+
   final ManualClock clock = ManualClock.advancing();
   final Links links = new Links(3);
   final List<TargetSpec> targets =
@@ -112,7 +114,7 @@
           proxy.getValue().tick();
         }
       }
-      clock.advanceMs(10);
+      clock.advanceMs(TICK_MS);
     }
   }
 
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/group/RandomFaultsTest.java
@@ -0,0 +1,150 @@
+package io.lycheejunction.proxy.group;
+
+import static io.lycheejunction.proxy.group.GroupFixture.GROUP;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.port.Role;
+import io.lycheejunction.core.port.TargetStatus;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.standin.model.FaultInjector;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+
+/** Runs seeded random faults and checks acknowledged writes against the logs of the instances. */
+class RandomFaultsTest {
+  private static final int SEEDS = 40;
+  private static final int STEPS = 25;
+  private static final long SETTLE_MS = 180_000;
+  private static final List<String> DOMAINS = List.of("a", "b", "c");
+
+  private final Map<Long, String> primaries = new HashMap<>();
+  private final Set<LogPosition> acknowledged = new HashSet<>();
+  private int total;
+
+  /** Loses some answers of fences and promotions, before or after their effect. */
+  private record LossyClaims(SplittableRandom random) implements FaultInjector {
+    private static final double LOSS = 0.15;
+
+    @Override
+    public Injected before(Call call) {
+      return isClaim(call) && random.nextDouble() < LOSS
+          ? new Injected.LoseRequest()
+          : Injected.PASS;
+    }
+
+    @Override
+    public Injected after(Call call) {
+      return isClaim(call) && random.nextDouble() < LOSS ? new Injected.LoseReply() : Injected.PASS;
+    }
+
+    private static boolean isClaim(Call call) {
+      return call.operation().equals("fence") || call.operation().equals("promote");
+    }
+  }
+
+  @Test
+  void shouldKeepEveryAcknowledgedWriteWhenFaultsAreRandom() {
+    for (long seed = 1; seed <= SEEDS; seed++) {
+      primaries.clear();
+      acknowledged.clear();
+      SplittableRandom random = new SplittableRandom(seed);
+      GroupFixture fixture = new GroupFixture(new LossyClaims(random.split()));
+      fixture.run(300);
+      for (int step = 0; step < STEPS; step++) {
+        strike(fixture, random);
+        for (String domain : DOMAINS) {
+          write(fixture, domain, "seed " + seed + " step " + step);
+        }
+        fixture.run(50 + random.nextInt(700));
+        checkPrimaries(fixture, "seed " + seed + " step " + step);
+      }
+      heal(fixture);
+      checkEnd(fixture, "seed " + seed);
+      total += acknowledged.size();
+    }
+    assertTrue(total > SEEDS, "only " + total + " writes were acknowledged");
+  }
+
+  private static void strike(GroupFixture fixture, SplittableRandom random) {
+    String domain = DOMAINS.get(random.nextInt(3));
+    String other = DOMAINS.get(random.nextInt(3));
+    String target = "t-" + domain;
+    switch (random.nextInt(9)) {
+      case 0 -> fixture.links.isolate(domain, DOMAINS);
+      case 1 -> fixture.links.cut(domain, other);
+      case 2, 3 -> fixture.links.healAll();
+      case 4 -> fixture.model.faults().crash(target);
+      case 5 -> DOMAINS.forEach(d -> fixture.model.faults().restart("t-" + d));
+      case 6 -> fixture.model.faults().replicaLag(target, random.nextInt(300));
+      case 7 -> fixture.deadProxies.add(domain);
+      default -> fixture.deadProxies.clear();
+    }
+  }
+
+  private void write(GroupFixture fixture, String domain, String at) {
+    GroupView view = fixture.watch(domain).view(GROUP);
+    if (fixture.deadProxies.contains(domain)
+        || !view.primary().equals(Optional.of("t-" + domain))
+        || fixture.watch(domain).confirmTerm(GROUP, view.term(), 100).isEmpty()) {
+      return;
+    }
+    Optional<LogPosition> position = fixture.write(domain, "t-" + domain, view.term());
+    if (position.isEmpty()) {
+      return;
+    }
+    Result<GroupView> received = fixture.watch(domain).confirmReceived(GROUP, position.get(), 150);
+    if (!received.isEmpty() && fixture.watch(domain).mayAcknowledge(GROUP, view.term())) {
+      acknowledged.add(position.get());
+      for (TargetStatus status : statuses(fixture)) {
+        boolean replaced = status.role() == Role.PRIMARY && status.term() > view.term();
+        assertTrue(!replaced, at + ": acknowledged by a replaced primary");
+      }
+    }
+  }
+
+  private static List<TargetStatus> statuses(GroupFixture fixture) {
+    return fixture.targets.stream().map(t -> fixture.model.status(t.name())).toList();
+  }
+
+  private void checkPrimaries(GroupFixture fixture, String at) {
+    for (TargetStatus status : statuses(fixture)) {
+      if (status.role() == Role.PRIMARY) {
+        String known = primaries.computeIfAbsent(status.term(), term -> status.target());
+        assertEquals(known, status.target(), at + ": two primaries of one term");
+      }
+    }
+  }
+
+  private static void heal(GroupFixture fixture) {
+    fixture.links.healAll();
+    fixture.deadProxies.clear();
+    for (String domain : DOMAINS) {
+      fixture.model.faults().restart("t-" + domain);
+      fixture.model.faults().replicaLag("t-" + domain, 0);
+    }
+    fixture.run(SETTLE_MS);
+  }
+
+  private void checkEnd(GroupFixture fixture, String at) {
+    String primary = fixture.model.primary().orElseThrow(() -> new AssertionError(at));
+    Set<LogPosition> log = new HashSet<>();
+    fixture.model.log(primary).forEach(entry -> log.add(entry.position()));
+    for (LogPosition position : acknowledged) {
+      assertTrue(log.contains(position), at + ": lost " + position);
+    }
+    for (String domain : DOMAINS) {
+      assertEquals(
+          Optional.of(primary), fixture.watch(domain).view(GROUP).primary(), at + " in " + domain);
+      assertEquals(fixture.model.log(primary), fixture.model.log("t-" + domain), at);
+    }
+  }
+}
