--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
@@ -18,6 +18,7 @@
 import io.lycheejunction.proxy.supervisor.Child;
 import io.lycheejunction.proxy.supervisor.Drainable;
 import io.lycheejunction.proxy.supervisor.Periodic;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -97,7 +98,11 @@
             clock,
             () -> VmListPoll.pollIntervalMs(membership.fleetSize()),
             list::poll),
-        new Periodic("heartbeat", clock, () -> Heartbeats.INTERVAL_MS, heartbeats::round));
+        new Periodic(
+            "heartbeat",
+            clock,
+            () -> Heartbeats.intervalMs(membership.fleetSize()),
+            heartbeats::round));
   }
 
   /**
@@ -137,6 +142,15 @@
         ports.routes());
   }
 
+  /**
+   * Adds the metrics of these parts.
+   *
+   * @param registry keeps the meters
+   */
+  public void watch(MeterRegistry registry) {
+    ControlMetrics.bind(registry, log, membership);
+  }
+
   /**
    * Returns why the configuration is not known yet.
    *
