--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.proxy;
 
 import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.language.Statement.Subject;
 import io.lycheejunction.core.port.Vm;
 import io.lycheejunction.core.retry.RetryBudget;
 import io.lycheejunction.core.retry.SharedRetryBudget;
@@ -17,6 +18,7 @@
 import io.lycheejunction.proxy.holder.PooledHolders;
 import io.lycheejunction.proxy.operator.Control;
 import io.lycheejunction.proxy.operator.Operator;
+import io.lycheejunction.proxy.operator.RefusedTable;
 import io.lycheejunction.proxy.operator.Shutdown;
 import io.lycheejunction.proxy.operator.Tables;
 import io.lycheejunction.proxy.supervisor.Child;
@@ -145,7 +147,8 @@
 
   private Operator operator() {
     Tables tables = new Tables();
-    control.watch(registry, tables);
+    control.watch(registry);
+    tables.add(Subject.REFUSED, new RefusedTable(registry)::table);
     return control.operator(
         tables,
         groups.watch(),
