--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.common.settings.Settings;
 import io.lycheejunction.proxy.caller.CallerLimits;
 import io.lycheejunction.proxy.caller.CallerSettings;
+import io.lycheejunction.proxy.group.GroupSettings;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
@@ -18,6 +19,7 @@
  * @param platform the address of the platform's services, as {@code ip:port}
  * @param seeds addresses of other proxies, as {@code ip:port}, for a start without the platform
  * @param noticeMs the time that the balancer needs to notice a shutdown, in milliseconds
+ * @param groups the settings of group watching and failover
  * @param callers the limits on callers' requests
  */
 public record ProxySettings(
@@ -27,6 +29,7 @@
     String platform,
     List<String> seeds,
     long noticeMs,
+    GroupSettings groups,
     CallerLimits callers) {
   /** The flag of the VM's name. */
   public static final String VM = "vm";
@@ -55,7 +58,7 @@
                       MAX_NOTICE_MS,
                       DEFAULT_NOTICE_MS,
                       "time for the balancer to notice a shutdown")),
-              CallerSettings.ALL.stream())
+              Stream.concat(GroupSettings.ALL.stream(), CallerSettings.ALL.stream()))
           .toList();
 
   /** Rejects null components. */
@@ -65,6 +68,7 @@
     Objects.requireNonNull(listen, "listen is null");
     Objects.requireNonNull(platform, "platform is null");
     seeds = List.copyOf(seeds);
+    Objects.requireNonNull(groups, "groups is null");
     Objects.requireNonNull(callers, "callers is null");
   }
 
@@ -82,6 +86,7 @@
         settings.text(PLATFORM),
         Arrays.stream(settings.text(PEERS).split(",")).filter(a -> !a.isEmpty()).toList(),
         settings.number(NOTICE_MS),
+        GroupSettings.of(settings),
         CallerSettings.limits(settings));
   }
 
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
@@ -11,7 +11,6 @@
 import io.lycheejunction.proxy.caller.Coordinator;
 import io.lycheejunction.proxy.caller.HttpServer;
 import io.lycheejunction.proxy.caller.Readiness;
-import io.lycheejunction.proxy.group.GroupSettings;
 import io.lycheejunction.proxy.group.Groups;
 import io.lycheejunction.proxy.group.VirtualThreadFanout;
 import io.lycheejunction.proxy.holder.HolderSettings;
@@ -33,7 +32,7 @@
 import java.util.concurrent.Executors;
 
 /** Builds the proxy's parts and joins them to a supervisor tree. */
-final class ProxyTree {
+public final class ProxyTree {
   private static final long REBALANCE_INTERVAL_MS = 100;
   private static final long SETTLE_INTERVAL_MS = 200;
   private static final double RETRY_SHARE = 0.2;
@@ -59,7 +58,7 @@
    * @param tokens signs session tokens
    * @param clock the runtime clock
    */
-  ProxyTree(ProxySettings settings, TokenCodec tokens, RuntimeClock clock) {
+  public ProxyTree(ProxySettings settings, TokenCodec tokens, RuntimeClock clock) {
     this.settings = settings;
     this.clock = clock;
     this.seeds = new Random(settings.vm().hashCode() ^ clock.wallMs());
@@ -79,7 +78,7 @@
    *
    * @return the supervisor
    */
-  Supervisor root() {
+  public Supervisor root() {
     return root;
   }
 
@@ -88,7 +87,7 @@
    *
    * @return the shutdown
    */
-  Shutdown shutdown() {
+  public Shutdown shutdown() {
     return shutdown;
   }
 
@@ -112,7 +111,7 @@
         clock,
         new VirtualThreadFanout(),
         random(),
-        GroupSettings.standard());
+        settings.groups());
   }
 
   private PooledHolders holders() {
