Measure the overhead of one and two proxies

Cause: nothing told what a proxy adds to a statement. Change: ./bench overhead compares the stand-in directly with one and two proxies in one run, unloaded, at the ceiling, and at 3,800 statements a second with 7,200 idle connections. Processor time is that of the whole process; the direct way in the same run is what to subtract. load gains a site of stand-ins and proxies in one process, runners at a closed and at an offered rate, idle connections and the summary of rounds.

--- a/bench/src/main/java/io/lycheejunction/bench/demo/PlanBench.java
+++ b/bench/src/main/java/io/lycheejunction/bench/demo/PlanBench.java
@@ -2,23 +2,21 @@
 
 import io.lycheejunction.bench.Bench;
 import io.lycheejunction.bench.BenchSettings;
+import io.lycheejunction.bench.load.GroupCommands;
 import io.lycheejunction.bench.load.PlatformClient;
 import io.lycheejunction.common.http.HttpCaller;
 import io.lycheejunction.common.settings.Settings;
-import io.lycheejunction.core.configuration.TargetSpec;
 import io.lycheejunction.core.port.Vm;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
-import java.util.stream.Collectors;
 
 /**
  * Registers the entry VMs with the stand-in and prints the operators' commands that bring its
  * groups into the configuration.
  */
 public final class PlanBench implements Bench {
-  /** The name of the service of a group is this prefix and the group's name. */
-  static final String SERVICE_PREFIX = "orders-";
+  static final String SERVICE_PREFIX = GroupCommands.SERVICE_PREFIX;
 
   private final HttpCaller http;
 
@@ -41,8 +39,8 @@
     PlatformClient platform = new PlatformClient(http, settings.text(BenchSettings.PLATFORM));
     vms(settings).forEach(platform::register);
     for (PlatformClient.Group group : platform.groups()) {
-      System.out.println(createGroup(group));
-      System.out.println(createService(group));
+      System.out.println(GroupCommands.createGroup(group));
+      System.out.println(GroupCommands.createService(group));
     }
     return 0;
   }
@@ -59,22 +57,6 @@
     return new Vm(parts[0], Vm.Kind.ENTRY, parts[1], parts[2], false);
   }
 
-  private static String createGroup(PlatformClient.Group group) {
-    String targets =
-        group.targets().stream().map(PlanBench::target).collect(Collectors.joining(", "));
-    return "create group %s targets (%s) slots %d connections %d"
-        .formatted(group.name(), targets, group.slots(), group.connections());
-  }
-
-  private static String target(TargetSpec target) {
-    return "%s in %s at %s".formatted(target.name(), target.failureDomain(), target.address());
-  }
-
-  private static String createService(PlatformClient.Group group) {
-    return "create service %s%s on %s with durability=majority, max_age=2s"
-        .formatted(SERVICE_PREFIX, group.name(), group.name());
-  }
-
   /**
    * Returns the group of a service that this bench has planned.
    *
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/load/Figures.java
@@ -0,0 +1,106 @@
+package io.lycheejunction.bench.load;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.Objects;
+import java.util.stream.Collectors;
+
+/** Collects the figures of a bench's rounds and prints them as lines of key=value pairs. */
+public final class Figures {
+
+  /**
+   * One figure of one round.
+   *
+   * @param name the name, which ends in the unit
+   * @param value the value
+   */
+  public record Figure(String name, double value) {
+    /** Rejects a null name. */
+    public Figure {
+      Objects.requireNonNull(name, "name is null");
+    }
+
+    String text() {
+      return name + "=" + format(value);
+    }
+  }
+
+  private final String bench;
+  private final Map<String, Map<String, List<Double>>> values = new LinkedHashMap<>();
+
+  /**
+   * Creates an empty collection.
+   *
+   * @param bench the name of the bench, which starts every line
+   */
+  public Figures(String bench) {
+    this.bench = Objects.requireNonNull(bench, "bench is null");
+  }
+
+  /**
+   * Records and prints the figures of one round of a variant.
+   *
+   * @param variant the key=value pairs that name the variant
+   * @param round the round, from 1
+   * @param figures the figures
+   */
+  public void add(String variant, int round, List<Figure> figures) {
+    Map<String, List<Double>> series = values.computeIfAbsent(variant, v -> new LinkedHashMap<>());
+    figures.forEach(f -> series.computeIfAbsent(f.name(), n -> new ArrayList<>()).add(f.value()));
+    String text = figures.stream().map(Figure::text).collect(Collectors.joining(" "));
+    System.out.println(bench + " " + variant + " round=" + round + " " + text);
+  }
+
+  /** Prints the least, the median and the largest value of each figure of each variant. */
+  public void printSummary() {
+    values.forEach(
+        (variant, series) ->
+            System.out.println(
+                bench
+                    + " summary "
+                    + variant
+                    + " "
+                    + series.entrySet().stream()
+                        .map(e -> spread(e.getKey(), e.getValue()))
+                        .collect(Collectors.joining(" "))));
+  }
+
+  /**
+   * Returns the median of a figure.
+   *
+   * @param variant the key=value pairs that name the variant
+   * @param name the name of the figure
+   * @return the median, or NaN if the figure was not recorded
+   */
+  public double median(String variant, String name) {
+    List<Double> found = values.getOrDefault(variant, Map.of()).getOrDefault(name, List.of());
+    return found.isEmpty() ? Double.NaN : middle(found);
+  }
+
+  private static String spread(String name, List<Double> series) {
+    List<Double> sorted = series.stream().sorted().toList();
+    return "%s_min=%s %s_median=%s %s_max=%s"
+        .formatted(
+            name,
+            format(sorted.getFirst()),
+            name,
+            format(middle(series)),
+            name,
+            format(sorted.getLast()));
+  }
+
+  private static double middle(List<Double> series) {
+    List<Double> sorted = series.stream().sorted().toList();
+    int middle = sorted.size() / 2;
+    return sorted.size() % 2 == 1
+        ? sorted.get(middle)
+        : (sorted.get(middle - 1) + sorted.get(middle)) / 2;
+  }
+
+  private static String format(double value) {
+    return String.format(Locale.ROOT, "%.3f", value);
+  }
+}
