Let one watcher at a time claim a group's next term

Cause: a yes to a pre-vote bound nobody. Between the first watcher's decision and the arrival of its fence, or while a claim with an old decision was held up by its own pre-vote, the next watcher (150 ms later, less than the 220 ms that a claim waits out the lease) claimed the following term and fenced the first one out; the first then did the same to it. The wait before a claim on a group without a primary ran from when the group was first seen so, and was not started anew by the term of another claimant.

Change: a yes is a grant that lasts as long as a claim (lease, margin, 380 ms), and a proxy that has granted makes no claim itself. The wait starts anew with each higher term; a decision is dropped if the term or the sight has changed since; a lost claim looks at all instances first. Nothing was added before the first claim of rank 0.

Before: RivalClaimsTest.Tick 2 of 3 failed (claimants [b, c]; term 4 instead of 3). After: all pass, as do FailoverTest, RandomFaultsTest and GroupWatchersTest.

--- a/proxy/src/main/java/io/lycheejunction/proxy/group/ClaimTrack.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/ClaimTrack.java
@@ -7,37 +7,51 @@
 
 /** Keeps when this proxy may claim a group; safe for use by several threads. */
 final class ClaimTrack {
-  private static final long VACANT_MS = 600;
   private static final long STAGGER_MS = 150;
   private static final int MAX_DOUBLINGS = 5;
   private static final long RETRY_MS = 50;
 
+  private final long holdMs;
   private boolean busy;
   private PrimaryLoss.Sight sight = PrimaryLoss.Sight.PRESENT;
   private long sinceMs;
+  private long highestTerm;
   private long notBeforeMs = Long.MIN_VALUE;
   private int failures;
   private FlapDamping damping = FlapDamping.empty();
   private Optional<GroupReport.Promotion> last = Optional.empty();
 
+  /**
+   * Creates the track of a group.
+   *
+   * @param holdMs the time that another proxy's claim is given, in milliseconds
+   */
+  ClaimTrack(long holdMs) {
+    this.holdMs = holdMs;
+  }
+
   /**
    * Returns whether to claim now, and if so keeps others from it until {@link #lost} or {@link
    * #won}.
    *
+   * <p>A rise of the highest term is the claim of another proxy and starts the wait anew.
+   *
    * @param seen what this proxy sees of the primary
+   * @param term the highest term that this proxy knows of
    * @param rank the place of this proxy among those that may claim, from 0
    * @param nowMs the monotonic time, in milliseconds
    * @return true if the caller must start a claim
    */
-  synchronized boolean tryStart(PrimaryLoss.Sight seen, int rank, long nowMs) {
-    if (seen != sight) {
+  synchronized boolean tryStart(PrimaryLoss.Sight seen, long term, int rank, long nowMs) {
+    if (seen != sight || term > highestTerm) {
       sight = seen;
+      highestTerm = Math.max(highestTerm, term);
       sinceMs = nowMs;
     }
     if (seen == PrimaryLoss.Sight.PRESENT) {
       return false;
     }
-    long waitMs = rank * STAGGER_MS + (seen == PrimaryLoss.Sight.VACANT ? VACANT_MS : 0);
+    long waitMs = rank * STAGGER_MS + (seen == PrimaryLoss.Sight.VACANT ? holdMs : 0);
     boolean due = nowMs - sinceMs >= waitMs && nowMs >= notBeforeMs && damping.allows(nowMs);
     return due && tryStart(nowMs);
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/Failover.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/Failover.java
@@ -64,15 +64,17 @@
   /** Starts a claim for each watched group whose primary is gone and whose turn it is. */
   void tick() {
     for (GroupSpec spec : probe.watched()) {
-      PrimaryLoss.Sight sight = preVotes.sight(spec, states.of(spec.name()));
-      if (track(spec).tryStart(sight, rank(spec), clock.monotonicMs())) {
-        fanout.start("claim-" + spec.name(), () -> replace(spec, sight));
+      GroupState state = states.of(spec.name());
+      PrimaryLoss.Sight sight = preVotes.sight(spec, state);
+      long term = state.highestTerm();
+      if (track(spec).tryStart(sight, term, rank(spec), clock.monotonicMs())) {
+        fanout.start("claim-" + spec.name(), () -> replace(spec, sight, term));
       }
     }
   }
 
   private ClaimTrack track(GroupSpec spec) {
-    return tracks.computeIfAbsent(spec.name(), name -> new ClaimTrack());
+    return tracks.computeIfAbsent(spec.name(), name -> new ClaimTrack(settings.claimHoldMs()));
   }
 
   private int rank(GroupSpec spec) {
@@ -92,12 +94,14 @@
     return rank;
   }
 
-  private void replace(GroupSpec spec, PrimaryLoss.Sight sight) {
+  private void replace(GroupSpec spec, PrimaryLoss.Sight sight, long term) {
     guarded(
         spec,
         () -> {
           GroupState state = states.of(spec.name());
-          if (preVotes.isGone(spec, state) && preVotes.isGranted(spec) && !isStale(spec)) {
+          if (preVotes.isGone(spec, state)
+              && preVotes.isGranted(spec, rank(spec))
+              && !isStale(spec, sight, term)) {
             return claim(spec, Optional.empty(), "primary " + sight.name());
           }
           track(spec).denied(clock.monotonicMs());
@@ -118,8 +122,9 @@
     }
   }
 
-  private boolean isStale(GroupSpec spec) {
-    return preVotes.sight(spec, states.of(spec.name())) == PrimaryLoss.Sight.PRESENT;
+  private boolean isStale(GroupSpec spec, PrimaryLoss.Sight sight, long term) {
+    GroupState state = states.of(spec.name());
+    return state.highestTerm() > term || preVotes.sight(spec, state) != sight;
   }
 
   /**
@@ -133,7 +138,7 @@
   private Result<GroupView> claim(GroupSpec spec, Optional<String> preferred, String reason) {
     GroupState state = states.of(spec.name());
     long startMs = clock.monotonicMs();
-    long term = nextTerm(state);
+    long term = state.highestTerm() + 1;
     LOG.info("claim_started", "group", spec.name(), "term", term, "reason", reason);
     Claim start =
         Claim.start(
@@ -146,14 +151,6 @@
     };
   }
 
-  private static long nextTerm(GroupState state) {
-    long highest = state.view().term();
-    for (TargetStatus status : state.statuses().values()) {
-      highest = Math.max(highest, status.term());
-    }
-    return Math.max(highest, state.highestClaimed()) + 1;
-  }
-
   private String claimant() {
     synchronized (random) {
       return peers.self().name() + "-" + Long.toHexString(random.nextLong());
@@ -194,7 +191,10 @@
   }
 
   private Result<GroupView> lost(GroupSpec spec, long term, String why) {
-    states.of(spec.name()).claimed(term);
+    GroupState state = states.of(spec.name());
+    state.claimed(term);
+    state.grant().release(peers.self().name());
+    preVotes.look(spec, state);
     track(spec).lost(clock.monotonicMs(), jitter());
     LOG.warn("claim_lost", "group", spec.name(), "term", term, "reason", why);
     return Result.failure(ResultCode.TERM_TAKEN, why);
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/GroupSettings.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/GroupSettings.java
@@ -33,6 +33,7 @@
   /** The time to wait for an answer to a fence or a promotion, in milliseconds. */
   public static final long CLAIM_TIMEOUT_MS = 400;
 
+  private static final long PROMOTION_MS = 380;
   private static final String ACK_LEASE = "ack-lease-ms";
   private static final String CONTROL_BYTES = "control-bytes-per-second";
   private static final String PROBE_BYTES = "probe-bytes";
@@ -94,6 +95,15 @@
         settings.number(ACK_LEASE), CLOCK_MARGIN_MS, PROBE_TIMEOUT_MS, CLAIM_TIMEOUT_MS, budget);
   }
 
+  /**
+   * Returns the time that a claim is given before another proxy makes the next one.
+   *
+   * @return the lease with its margin and the time to fence and promote, in milliseconds
+   */
+  long claimHoldMs() {
+    return ackLeaseMs + clockMarginMs + PROMOTION_MS;
+  }
+
   /**
    * Returns the time that a confirming round may take, so that half of the lease remains.
    *
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/GroupState.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/GroupState.java
@@ -25,6 +25,7 @@
   private long frozenTerm = -1;
   private long frozenUntilMs;
   private long highestClaimed;
+  private final ClaimGrant grant = new ClaimGrant();
 
   GroupState(String group) {
     view = new ViewHolder(group);
@@ -130,8 +131,21 @@
     highestClaimed = Math.max(highestClaimed, term);
   }
 
-  synchronized long highestClaimed() {
-    return highestClaimed;
+  /**
+   * Returns the highest term that this proxy knows of.
+   *
+   * @return the highest term of the view, of any answer and of its own lost claims
+   */
+  synchronized long highestTerm() {
+    long highest = Math.max(highestClaimed, view.get().term());
+    for (TargetStatus status : statuses.values()) {
+      highest = Math.max(highest, status.term());
+    }
+    return highest;
+  }
+
+  ClaimGrant grant() {
+    return grant;
   }
 
   synchronized boolean isFrozen(long term, long nowMs) {
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/Groups.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/Groups.java
@@ -61,7 +61,8 @@
     Rounds rounds = new Rounds(targets, peers, clock, fanout);
     GroupViews views = new GroupViews(states, peers, transport, clock, fanout);
     PreVotes preVotes =
-        new PreVotes(configuration, states, rounds, peers, transport, clock, fanout);
+        new PreVotes(
+            configuration, states, rounds, peers, transport, clock, fanout, settings.claimHoldMs());
     ClaimRun claims = new ClaimRun(targets, clock, fanout, settings.claimTimeoutMs());
     probe = new GroupProbe(configuration, peers, states, rounds, clock, fanout, settings);
     watch = new GroupWatchers(configuration, states, rounds, views, clock, settings);
--- a/proxy/src/main/java/io/lycheejunction/proxy/group/PreVotes.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/group/PreVotes.java
@@ -6,7 +6,6 @@
 import io.lycheejunction.core.configuration.TargetSpec;
 import io.lycheejunction.core.failover.PreVote;
 import io.lycheejunction.core.failover.PrimaryLoss;
-import io.lycheejunction.core.group.GroupView;
 import io.lycheejunction.core.port.PeerTransport;
 import io.lycheejunction.core.port.Peers;
 import io.lycheejunction.core.port.Vm;
@@ -34,6 +33,7 @@
   private final PeerTransport transport;
   private final RuntimeClock clock;
   private final Fanout fanout;
+  private final long holdMs;
 
   PreVotes(
       ConfigurationSource configuration,
@@ -42,7 +42,8 @@
       Peers peers,
       PeerTransport transport,
       RuntimeClock clock,
-      Fanout fanout) {
+      Fanout fanout,
+      long holdMs) {
     this.configuration = Objects.requireNonNull(configuration, "configuration is null");
     this.states = Objects.requireNonNull(states, "states is null");
     this.rounds = Objects.requireNonNull(rounds, "rounds is null");
@@ -50,6 +51,7 @@
     this.transport = Objects.requireNonNull(transport, "transport is null");
     this.clock = Objects.requireNonNull(clock, "clock is null");
     this.fanout = Objects.requireNonNull(fanout, "fanout is null");
+    this.holdMs = holdMs;
   }
 
   /**
@@ -66,7 +68,10 @@
     GroupState state = states.of(group);
     state.learn(call.view());
     Optional<GroupSpec> spec = configuration.current().group(group);
-    boolean gone = spec.isPresent() && isGone(spec.get(), state);
+    boolean gone =
+        spec.isPresent()
+            && isGone(spec.get(), state)
+            && state.grant().give(call.asker(), call.rank(), clock.monotonicMs(), holdMs);
     return new PreVoteAnswer(gone, state.view());
   }
 
@@ -88,6 +93,16 @@
     return sight(spec, state) != PrimaryLoss.Sight.PRESENT;
   }
 
+  /**
+   * Asks all instances, so that the claim of another proxy is seen.
+   *
+   * @param spec the group
+   * @param state receives what the answers prove
+   */
+  void look(GroupSpec spec, GroupState state) {
+    rounds.run(spec, spec.targets(), state, Optional.empty(), t -> false, PROBE_TIMEOUT_MS);
+  }
+
   /**
    * Returns what this proxy sees of the group's primary.
    *
@@ -100,16 +115,30 @@
   }
 
   /**
-   * Returns whether a majority of the failure domains see the primary gone, with this proxy's own
-   * vote for it.
+   * Returns whether a majority of the failure domains see the primary gone and let this proxy
+   * claim, with its own vote for it.
    *
    * @param spec the group
-   * @return true if so
+   * @param rank the place of this proxy among those that may claim, from 0
+   * @return true if so; then nobody else is let claim for the time of a claim
    */
-  boolean isGranted(GroupSpec spec) {
+  boolean isGranted(GroupSpec spec, int rank) {
+    ClaimGrant own = states.of(spec.name()).grant();
+    String self = peers.self().name();
+    if (!own.reserve(self, rank, clock.monotonicMs(), holdMs)) {
+      return false;
+    }
+    boolean granted = ask(spec, rank) && own.hold(self, clock.monotonicMs(), holdMs);
+    if (!granted) {
+      own.release(self);
+    }
+    return granted;
+  }
+
+  private boolean ask(GroupSpec spec, int rank) {
     List<Vm> live = peers.live();
     AtomicReference<PreVote> votes = new AtomicReference<>(PreVote.of(spec));
-    GroupView view = states.of(spec.name()).view();
+    PreVoteCall message = new PreVoteCall(peers.self().name(), rank, states.of(spec.name()).view());
     List<Runnable> calls = new ArrayList<>();
     for (TargetSpec target : spec.targets()) {
       String voter = PreVote.voter(spec, target);
@@ -120,7 +149,7 @@
       } else if (watcher.get().name().equals(peers.self().name())) {
         votes.updateAndGet(v -> v.cast(voter, true));
       } else {
-        calls.add(() -> call(watcher.get(), view, voter, votes));
+        calls.add(() -> call(watcher.get(), message, voter, votes));
       }
     }
     if (votes.get().outcome() == PreVote.Outcome.OPEN) {
@@ -133,10 +162,10 @@
     return voter.equals(target.name()) || vm.failureDomain().equals(target.failureDomain());
   }
 
-  private void call(Vm watcher, GroupView view, String voter, AtomicReference<PreVote> votes) {
+  private void call(Vm watcher, PreVoteCall message, String voter, AtomicReference<PreVote> votes) {
     boolean gone =
         transport
-            .call(watcher, PATH, new PreVoteCall(view), PreVoteAnswer.class, PEER_TIMEOUT_MS)
+            .call(watcher, PATH, message, PreVoteAnswer.class, PEER_TIMEOUT_MS)
             .map(this::learn)
             .fold(fault -> false, PreVoteAnswer::gone);
     votes.updateAndGet(v -> v.cast(voter, gone));
