--- a/ctl/src/main/java/io/lycheejunction/ctl/Shell.java
+++ b/ctl/src/main/java/io/lycheejunction/ctl/Shell.java
@@ -38,7 +38,7 @@
    * @throws IOException if there is no terminal
    */
   static Shell open(Runner runner) throws IOException {
-    return new Shell(TerminalBuilder.builder().system(true).dumb(true).build(), runner);
+    return new Shell(TerminalBuilder.builder().system(true).exec(false).dumb(true).build(), runner);
   }
 
   /**
