--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/access/Keyring.java
@@ -0,0 +1,68 @@
+package io.lycheejunction.core.access;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import java.util.List;
+import java.util.Optional;
+
+/** The keys that a proxy accepts. */
+public final class Keyring {
+  private static final String BEARER = "Bearer ";
+
+  private final List<Grant> grants;
+
+  private Keyring(List<Grant> grants) {
+    this.grants = List.copyOf(grants);
+  }
+
+  /**
+   * Returns a keyring.
+   *
+   * @param grants the keys with what they allow
+   * @return the keyring
+   */
+  public static Keyring of(List<Grant> grants) {
+    return new Keyring(grants);
+  }
+
+  /**
+   * Returns why a request is not allowed.
+   *
+   * @param authorization the value of the request's {@code Authorization} header, if it has one
+   * @param need what the request needs
+   * @return the fault, empty if the request is allowed
+   */
+  public Optional<Fault> refusal(Optional<String> authorization, Need need) {
+    if (need instanceof Need.Open) {
+      return Optional.empty();
+    }
+    if (authorization.isEmpty()) {
+      return refused(ResultCode.NO_CREDENTIAL, "the request has no Authorization header");
+    }
+    if (!authorization.get().regionMatches(true, 0, BEARER, 0, BEARER.length())) {
+      return refused(ResultCode.WRONG_CREDENTIAL, "the credential is not a bearer token");
+    }
+    return find(Grant.digest(authorization.get().substring(BEARER.length()).strip()), need);
+  }
+
+  /** Compares with every key, so that the time does not tell which one matched. */
+  private Optional<Fault> find(byte[] presented, Need need) {
+    boolean known = false;
+    boolean allowed = false;
+    for (Grant grant : grants) {
+      boolean same = grant.matches(presented);
+      known |= same;
+      allowed |= same & grant.scope().allows(need);
+    }
+    if (allowed) {
+      return Optional.empty();
+    }
+    return known
+        ? refused(ResultCode.NOT_ALLOWED, "the credential does not allow this request")
+        : refused(ResultCode.WRONG_CREDENTIAL, "the credential is not known");
+  }
+
+  private static Optional<Fault> refused(ResultCode code, String detail) {
+    return Optional.of(Fault.of(code, detail));
+  }
+}
--- a/ctl/src/main/java/io/lycheejunction/ctl/CtlMain.java
+++ b/ctl/src/main/java/io/lycheejunction/ctl/CtlMain.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.common.settings.Program;
 import io.lycheejunction.common.settings.Setting;
 import io.lycheejunction.common.settings.Settings;
+import io.lycheejunction.core.result.Fault;
 import java.io.IOException;
 import java.io.PrintStream;
 import java.util.List;
@@ -18,6 +19,8 @@
   private static final String WAIT = "wait";
   private static final String IF_VERSION = "if-version";
   private static final String CHANGE_ID = "change-id";
+  private static final String OPERATOR_KEY = "operator-key";
+  private static final String TLS_CA = "tls-ca";
   private static final String TIMEOUT_MS = "timeout-ms";
   private static final long NO_VERSION = -1;
   private static final List<Setting> SETTINGS =
@@ -33,6 +36,8 @@
               NO_VERSION,
               "version that the configuration must have; -1 for any"),
           Setting.text(CHANGE_ID, "", "identifier of a change that is sent again"),
+          Setting.secret(OPERATOR_KEY, "key of the operator"),
+          Setting.text(TLS_CA, "", "PEM file of the certificates that the proxies are signed by"),
           Setting.number(
               TIMEOUT_MS, 100, 120_000, 20_000, "time to wait for an answer, in milliseconds"));
   private static final Program PROGRAM =
@@ -59,8 +64,19 @@
       System.err.println("lycheejunctionctl: --proxy has '" + wrong.get() + "'; allowed: ip:port");
       return Program.EXIT_BAD_SETTINGS;
     }
-    try (HttpCaller http = HttpCaller.plain(Optional.empty())) {
-      Client client = new Client(new HttpProxies(http, settings.number(TIMEOUT_MS)), proxies);
+    return Connection.of(settings.text(OPERATOR_KEY), settings.text(TLS_CA), proxies)
+        .fold(CtlMain::badAccess, connection -> ask(settings, proxies, connection));
+  }
+
+  private static int badAccess(Fault fault) {
+    System.err.println("lycheejunctionctl: " + fault.detail());
+    return Program.EXIT_BAD_SETTINGS;
+  }
+
+  private static int ask(Settings settings, List<String> proxies, Connection connection) {
+    try (HttpCaller http = connection.http()) {
+      long timeoutMs = settings.number(TIMEOUT_MS);
+      Client client = new Client(new HttpProxies(http, connection.headers(), timeoutMs), proxies);
       return interact(settings, new Runner(client, options(settings), System.out, System.err));
     }
   }
--- a/ctl/src/main/java/io/lycheejunction/ctl/HttpProxies.java
+++ b/ctl/src/main/java/io/lycheejunction/ctl/HttpProxies.java
@@ -10,15 +10,17 @@
   private static final String PATH = "/v1/operator";
 
   private final HttpCaller http;
+  private final List<String> headers;
   private final long timeoutMs;
 
-  HttpProxies(HttpCaller http, long timeoutMs) {
+  HttpProxies(HttpCaller http, List<String> headers, long timeoutMs) {
     this.http = Objects.requireNonNull(http, "http is null");
+    this.headers = List.copyOf(headers);
     this.timeoutMs = timeoutMs;
   }
 
   @Override
   public HttpReply send(String address, String body) {
-    return http.send("POST", address, PATH, body, List.of(), timeoutMs);
+    return http.send("POST", address, PATH, body, headers, timeoutMs);
   }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/Adapters.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/Adapters.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.common.http.HttpCaller;
 import io.lycheejunction.core.port.PeerTransport;
 import io.lycheejunction.core.port.TargetPort;
+import io.lycheejunction.proxy.access.AccessSettings;
 import io.lycheejunction.proxy.forward.HttpPeerTransport;
 import io.lycheejunction.proxy.forward.PeerRoutes;
 import io.lycheejunction.proxy.operator.Control;
@@ -11,9 +12,6 @@
 import io.lycheejunction.proxy.platform.HttpVmDirectory;
 import io.lycheejunction.proxy.platform.PlatformCalls;
 import io.lycheejunction.proxy.target.HttpTargetPort;
-import java.net.InetAddress;
-import java.net.UnknownHostException;
-import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -44,9 +42,11 @@
    * @return the adapters
    */
   static Adapters of(ProxySettings settings) {
-    HttpCaller http = HttpCaller.plain(Optional.of(address(settings.ip())));
+    HttpCaller http = HttpCaller.plain(Optional.of(settings.address()));
     PeerRoutes routes = new PeerRoutes();
-    PeerTransport transport = new HttpPeerTransport(http, List.of());
+    AccessSettings access = settings.access();
+    PeerTransport transport =
+        new HttpPeerTransport(access.peerHttp(settings.address()), access.peerHeaders());
     PlatformCalls calls = new PlatformCalls(http, settings.platform(), PLATFORM_TIMEOUT_MS);
     Control.Ports ports =
         new Control.Ports(
@@ -57,12 +57,4 @@
             routes);
     return new Adapters(new HttpTargetPort(http), transport, routes, ports);
   }
-
-  private static InetAddress address(String ip) {
-    try {
-      return InetAddress.getByName(ip);
-    } catch (UnknownHostException e) {
-      throw new IllegalArgumentException("not an IP address: " + ip, e);
-    }
-  }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyMain.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyMain.java
@@ -30,7 +30,12 @@
 
   private static int run(Settings settings) {
     byte[] key = settings.text(CallerSettings.SESSION_KEY).getBytes(StandardCharsets.UTF_8);
-    return TokenCodec.of(key).fold(ProxyMain::badKey, tokens -> serve(settings, tokens));
+    return TokenCodec.of(key)
+        .fold(
+            ProxyMain::badKey,
+            tokens ->
+                ProxySettings.access(settings)
+                    .fold(ProxyMain::badAccess, access -> serve(settings, tokens)));
   }
 
   private static int badKey(Fault fault) {
@@ -38,6 +43,11 @@
     return Program.EXIT_BAD_SETTINGS;
   }
 
+  private static int badAccess(Fault fault) {
+    fault.detail().lines().forEach(line -> System.err.println("lycheejunction-proxy: " + line));
+    return Program.EXIT_BAD_SETTINGS;
+  }
+
   private static int serve(Settings settings, TokenCodec tokens) {
     ProxySettings own = ProxySettings.of(settings);
     ProxyTree tree = new ProxyTree(own, tokens, new SystemRuntimeClock());
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxySettings.java
@@ -2,9 +2,13 @@
 
 import io.lycheejunction.common.settings.Setting;
 import io.lycheejunction.common.settings.Settings;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.proxy.access.AccessSettings;
 import io.lycheejunction.proxy.caller.CallerLimits;
 import io.lycheejunction.proxy.caller.CallerSettings;
 import io.lycheejunction.proxy.group.GroupSettings;
+import java.net.InetAddress;
+import java.net.UnknownHostException;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Objects;
@@ -21,6 +25,7 @@
  * @param noticeMs the time that the balancer needs to notice a shutdown, in milliseconds
  * @param groups the settings of group watching and failover
  * @param callers the limits on callers' requests
+ * @param access the keys and certificates
  */
 public record ProxySettings(
     String vm,
@@ -30,7 +35,8 @@
     List<String> seeds,
     long noticeMs,
     GroupSettings groups,
-    CallerLimits callers) {
+    CallerLimits callers,
+    AccessSettings access) {
   /** The flag of the VM's name. */
   public static final String VM = "vm";
 
@@ -58,7 +64,8 @@
                       MAX_NOTICE_MS,
                       DEFAULT_NOTICE_MS,
                       "time for the balancer to notice a shutdown")),
-              Stream.concat(GroupSettings.ALL.stream(), CallerSettings.ALL.stream()))
+              Stream.of(GroupSettings.ALL, CallerSettings.ALL, AccessSettings.ALL)
+                  .flatMap(List::stream))
           .toList();
 
   /** Rejects null components. */
@@ -70,6 +77,40 @@
     seeds = List.copyOf(seeds);
     Objects.requireNonNull(groups, "groups is null");
     Objects.requireNonNull(callers, "callers is null");
+    Objects.requireNonNull(access, "access is null");
+  }
+
+  /**
+   * Creates the settings of a proxy on a loopback address, without keys and certificates.
+   *
+   * @param vm the name of the entry VM that the proxy runs on
+   * @param failureDomain the failure domain of the VM
+   * @param listen the loopback address that the proxy listens on, as {@code ip:port}
+   * @param platform the address of the platform's services, as {@code ip:port}
+   * @param seeds addresses of other proxies, as {@code ip:port}, for a start without the platform
+   * @param noticeMs the time that the balancer needs to notice a shutdown, in milliseconds
+   * @param groups the settings of group watching and failover
+   * @param callers the limits on callers' requests
+   */
+  public ProxySettings(
+      String vm,
+      String failureDomain,
+      String listen,
+      String platform,
+      List<String> seeds,
+      long noticeMs,
+      GroupSettings groups,
+      CallerLimits callers) {
+    this(
+        vm,
+        failureDomain,
+        listen,
+        platform,
+        seeds,
+        noticeMs,
+        groups,
+        callers,
+        orThrow(AccessSettings.insecure(address(ipOf(listen)))));
   }
 
   /**
@@ -77,6 +118,7 @@
    *
    * @param settings the checked settings
    * @return the proxy's settings
+   * @throws IllegalArgumentException if a key or certificate is missing or cannot be used
    */
   public static ProxySettings of(Settings settings) {
     return new ProxySettings(
@@ -87,7 +129,47 @@
         Arrays.stream(settings.text(PEERS).split(",")).filter(a -> !a.isEmpty()).toList(),
         settings.number(NOTICE_MS),
         GroupSettings.of(settings),
-        CallerSettings.limits(settings));
+        CallerSettings.limits(settings),
+        orThrow(access(settings)));
+  }
+
+  /**
+   * Returns the keys and certificates from the settings that were read.
+   *
+   * @param settings the checked settings
+   * @return the keys and certificates, or a fault with one line for each thing wrong
+   */
+  public static Result<AccessSettings> access(Settings settings) {
+    return AccessSettings.of(settings, address(ipOf(settings.text(LISTEN))));
+  }
+
+  private static AccessSettings orThrow(Result<AccessSettings> access) {
+    return access.fold(
+        fault -> {
+          throw new IllegalArgumentException(fault.detail());
+        },
+        read -> read);
+  }
+
+  private static String ipOf(String listen) {
+    return listen.substring(0, listen.lastIndexOf(':'));
+  }
+
+  private static InetAddress address(String ip) {
+    try {
+      return InetAddress.getByName(ip);
+    } catch (UnknownHostException e) {
+      throw new IllegalArgumentException("not an IP address: " + ip, e);
+    }
+  }
+
+  /**
+   * Returns the IP address that the proxy listens on and sends from.
+   *
+   * @return the address
+   */
+  public InetAddress address() {
+    return address(ip());
   }
 
   /**
@@ -96,7 +178,7 @@
    * @return the address without its port
    */
   public String ip() {
-    return listen.substring(0, listen.lastIndexOf(':'));
+    return ipOf(listen);
   }
 
   /**
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
@@ -26,6 +26,7 @@
 import io.micrometer.prometheusmetrics.PrometheusConfig;
 import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -35,6 +36,7 @@
 public final class ProxyTree {
   private static final long REBALANCE_INTERVAL_MS = 100;
   private static final long SETTLE_INTERVAL_MS = 200;
+  private static final long RELOAD_INTERVAL_MS = 10_000;
   private static final double RETRY_SHARE = 0.2;
   private static final double RETRY_RESERVE = 100;
 
@@ -163,9 +165,11 @@
     Readiness readiness = () -> shutdown.reasonNotReady().or(control::reasonNotReady);
     List<Object> beans =
         new ArrayList<>(CallerParts.of(coordinator, tokens, settings.callers()).beans());
-    beans.addAll(List.of(adapters.routes(), readiness, operator(), registry));
+    beans.addAll(
+        List.of(adapters.routes(), readiness, operator(), registry, settings.access().gate()));
     Map<String, Object> properties =
-        Map.of("micronaut.server.host", settings.ip(), "micronaut.server.port", settings.port());
+        new HashMap<>(settings.access().serverProperties(settings.port()));
+    properties.put("micronaut.server.host", settings.ip());
     return new HttpServer(properties, beans);
   }
 
@@ -174,6 +178,10 @@
     children.add(groups.child());
     children.add(periodic("holder", REBALANCE_INTERVAL_MS, holders::rebalance));
     children.add(periodic("settler", SETTLE_INTERVAL_MS, coordinator.settler()::settle));
+    settings
+        .access()
+        .trust()
+        .ifPresent(t -> children.add(periodic("certificates", RELOAD_INTERVAL_MS, t::reload)));
     children.add(server(tokens));
     return children;
   }
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/access/AccessFilter.java
@@ -0,0 +1,88 @@
+package io.lycheejunction.proxy.access;
+
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.core.access.Need;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.proxy.caller.HttpAnswers;
+import io.lycheejunction.proxy.forward.PeerRoutes;
+import io.micronaut.context.BeanProvider;
+import io.micronaut.core.annotation.Nullable;
+import io.micronaut.http.HttpHeaders;
+import io.micronaut.http.HttpRequest;
+import io.micronaut.http.HttpResponse;
+import io.micronaut.http.HttpStatus;
+import io.micronaut.http.MediaType;
+import io.micronaut.http.MutableHttpResponse;
+import io.micronaut.http.annotation.RequestFilter;
+import io.micronaut.http.annotation.ServerFilter;
+import io.micronaut.http.server.annotation.PreMatching;
+import java.util.Objects;
+import java.util.Optional;
+
+/** Refuses requests without the credential that they need, before a controller is chosen. */
+@ServerFilter(ServerFilter.MATCH_ALL_PATTERN)
+public class AccessFilter {
+  private final AccessGate gate;
+  private final BeanProvider<HttpAnswers> answers;
+
+  /**
+   * Creates the filter.
+   *
+   * @param gate decides
+   * @param answers writes answers to callers
+   */
+  public AccessFilter(AccessGate gate, BeanProvider<HttpAnswers> answers) {
+    this.gate = Objects.requireNonNull(gate, "gate is null");
+    this.answers = Objects.requireNonNull(answers, "answers is null");
+  }
+
+  /**
+   * Returns the refusal of a request.
+   *
+   * @param request the request
+   * @return the response, null if the request is allowed
+   */
+  @RequestFilter
+  @PreMatching
+  @Nullable
+  public HttpResponse<?> check(HttpRequest<?> request) {
+    String path = Objects.requireNonNullElse(request.getUri().getRawPath(), "");
+    return gate.refusal(authorization(request), Need.ofPath(path))
+        .map(fault -> refuse(path, fault))
+        .orElse(null);
+  }
+
+  /**
+   * Returns the value of the header that carries the credential.
+   *
+   * @param request the request
+   * @return the value, if the request has one
+   */
+  public static Optional<String> authorization(HttpRequest<?> request) {
+    return Optional.ofNullable(request.getHeaders().get(HttpHeaders.AUTHORIZATION));
+  }
+
+  private HttpResponse<?> refuse(String path, Fault fault) {
+    MutableHttpResponse<?> response = answer(path, fault);
+    if (fault.code().httpStatus() == HttpStatus.UNAUTHORIZED.getCode()) {
+      response.header(HttpHeaders.WWW_AUTHENTICATE, "Bearer");
+    }
+    return response;
+  }
+
+  private MutableHttpResponse<?> answer(String path, Fault fault) {
+    if (path.equals(Need.OPERATOR_PATH)) {
+      return json(fault, Json.write(OperatorReply.failed(fault, Optional.empty())));
+    }
+    return path.startsWith(Need.PEER_PREFIX)
+        ? json(fault, PeerRoutes.refusal(fault))
+        : answers.get().refused(fault);
+  }
+
+  private static MutableHttpResponse<?> json(Fault fault, String body) {
+    return HttpResponse.status(HttpStatus.valueOf(fault.code().httpStatus()))
+        .contentType(MediaType.APPLICATION_JSON_TYPE)
+        .body(body);
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/access/package-info.java
@@ -0,0 +1,2 @@
+/** Checks credentials and keeps the settings of keys and certificates. */
+package io.lycheejunction.proxy.access;
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/HttpAnswers.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/HttpAnswers.java
@@ -35,7 +35,7 @@
    * @param fault the fault
    * @return the response
    */
-  MutableHttpResponse<?> refused(Fault fault) {
+  public MutableHttpResponse<?> refused(Fault fault) {
     return of(Answer.of(fault, SessionToken.empty()));
   }
 
--- a/proxy/src/main/java/io/lycheejunction/proxy/forward/PeerRoutes.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/forward/PeerRoutes.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.proxy.forward;
 
 import io.lycheejunction.common.json.Json;
+import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
 import java.util.Map;
@@ -28,6 +29,16 @@
         body -> Json.read(body, messageType).<Result<?>>fold(Result::failure, handler::apply));
   }
 
+  /**
+   * Returns the JSON envelope of a message that was refused.
+   *
+   * @param fault why
+   * @return the JSON text of the envelope
+   */
+  public static String refusal(Fault fault) {
+    return Json.write(PeerReply.of(new Result.Failure<>(fault)));
+  }
+
   /**
    * Returns the JSON envelope of the reply to a message.
    *
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Operator.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Operator.java
@@ -5,6 +5,7 @@
 import io.lycheejunction.common.json.Json;
 import io.lycheejunction.common.operator.OperatorReply;
 import io.lycheejunction.common.operator.OperatorRequest;
+import io.lycheejunction.core.access.Need;
 import io.lycheejunction.core.configuration.Change;
 import io.lycheejunction.core.configuration.Configuration;
 import io.lycheejunction.core.configuration.ConfigurationRules;
@@ -26,6 +27,7 @@
 import io.micronaut.http.HttpStatus;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.function.Function;
 import java.util.function.Supplier;
 
 /** Runs the statements of operators. */
@@ -107,19 +109,30 @@
   }
 
   /**
-   * Returns the answer to a request.
+   * Returns the answer to a request that everything is allowed to.
    *
    * @param body the JSON text of the request
    * @return the answer
    */
   OperatorReply answer(String body) {
+    return answer(body, need -> Optional.empty());
+  }
+
+  /**
+   * Returns the answer to a request.
+   *
+   * @param body the JSON text of the request
+   * @param refusal tells why the request's credential does not allow a need, if it does not
+   * @return the answer
+   */
+  OperatorReply answer(String body, Function<Need, Optional<Fault>> refusal) {
     if (body.length() > MAX_BODY_CHARS) {
       return refused(
           Fault.of(
               ResultCode.BODY_TOO_LARGE,
               body.length() + " characters; allowed: " + MAX_BODY_CHARS));
     }
-    return read(body).fold(Operator::refused, this::answer);
+    return read(body).fold(Operator::refused, request -> answer(request, refusal));
   }
 
   /**
@@ -129,8 +142,18 @@
    * @return the answer
    */
   public OperatorReply answer(OperatorRequest request) {
+    return answer(request, need -> Optional.empty());
+  }
+
+  private OperatorReply answer(OperatorRequest request, Function<Need, Optional<Fault>> refusal) {
     return OperatorLanguage.read(request.command())
-        .fold(Operator::refused, input -> run(request, input));
+        .fold(
+            Operator::refused,
+            input ->
+                refusal
+                    .apply(Need.of(input.statement()))
+                    .map(Operator::refused)
+                    .orElseGet(() -> run(request, input)));
   }
 
   /** A misspelt field is refused: without it the request would mean something else. */
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/OperatorController.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/OperatorController.java
@@ -2,6 +2,9 @@
 
 import io.lycheejunction.common.json.Json;
 import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.proxy.access.AccessFilter;
+import io.lycheejunction.proxy.access.AccessGate;
+import io.micronaut.http.HttpRequest;
 import io.micronaut.http.HttpResponse;
 import io.micronaut.http.MediaType;
 import io.micronaut.http.annotation.Body;
@@ -9,31 +12,37 @@
 import io.micronaut.http.annotation.Post;
 import io.micronaut.scheduling.TaskExecutors;
 import io.micronaut.scheduling.annotation.ExecuteOn;
+import java.util.Optional;
 
 /** Receives the statements of operators. */
 @Controller("/v1/operator")
 @ExecuteOn(TaskExecutors.BLOCKING)
 public class OperatorController {
   private final Operator operator;
+  private final AccessGate gate;
 
   /**
    * Creates the controller.
    *
    * @param operator runs the statements
+   * @param gate decides which statements a credential allows
    */
-  public OperatorController(Operator operator) {
+  public OperatorController(Operator operator, AccessGate gate) {
     this.operator = operator;
+    this.gate = gate;
   }
 
   /**
    * Returns the answer to a statement.
    *
+   * @param request the whole request
    * @param body the JSON text of the request
    * @return the answer, with the HTTP status of its result code
    */
   @Post(consumes = MediaType.ALL, produces = MediaType.APPLICATION_JSON)
-  public HttpResponse<String> run(@Body String body) {
-    OperatorReply reply = operator.answer(body);
+  public HttpResponse<String> run(HttpRequest<?> request, @Body String body) {
+    Optional<String> authorization = AccessFilter.authorization(request);
+    OperatorReply reply = operator.answer(body, need -> gate.refusal(authorization, need));
     return HttpResponse.<String>status(Operator.status(reply)).body(Json.write(reply));
   }
 }
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/access/TlsTest.java
@@ -0,0 +1,98 @@
+package io.lycheejunction.proxy.access;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.common.http.HttpCaller;
+import io.lycheejunction.common.http.PemTrust;
+import io.lycheejunction.proxy.caller.HttpServer;
+import io.lycheejunction.proxy.caller.Readiness;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class TlsTest {
+  private static final long TIMEOUT_MS = 10_000;
+  private static final int MAX_HANDSHAKES = 5_000;
+
+  @TempDir private Path directory;
+  @TempDir private Path other;
+  private HttpServer server;
+
+  @AfterEach
+  void stop() {
+    server.stop();
+  }
+
+  private void start(TlsFiles files) {
+    Map<String, Object> properties = new HashMap<>(TlsFiles.withPort(files.properties(), -1));
+    properties.put("micronaut.server.host", "127.0.0.1");
+    properties.put(TlsFiles.REFRESH_INTERVAL, "20ms");
+    Readiness ready = Optional::empty;
+    server = new HttpServer(properties, List.of(ready, AccessGate.off()));
+    server.start();
+  }
+
+  private static PemTrust trust(TlsFiles files) {
+    List<String> faults = new ArrayList<>();
+    return files.check(faults).orElseThrow(() -> new AssertionError(faults));
+  }
+
+  private static HttpCaller caller(PemTrust trust) {
+    return HttpCaller.tls(Optional.empty(), trust.context());
+  }
+
+  private boolean answers(HttpCaller http) {
+    String address = "127.0.0.1:" + server.port();
+    return http.send("GET", address, "/health/live", "", List.of(), TIMEOUT_MS)
+        .okBody()
+        .isPresent();
+  }
+
+  private boolean shakesHands(PemTrust trust) {
+    try (HttpCaller http = caller(trust)) {
+      return answers(http);
+    }
+  }
+
+  @Test
+  void shouldAnswerOnlyByTlsWithTrustedCertificateWhenFilesAreSet() {
+    TlsFiles files = Certificates.of("one").write(directory);
+    start(files);
+    assertTrue(shakesHands(trust(files)));
+    assertFalse(shakesHands(trust(Certificates.of("two").write(other))));
+    try (HttpCaller plain = HttpCaller.plain(Optional.empty())) {
+      assertFalse(answers(plain));
+    }
+  }
+
+  @Test
+  void shouldTakeNewCertificateAndKeepConnectionsWhenFileIsReplaced() {
+    TlsFiles parts = Certificates.of("one").write(directory);
+    String both = directory.resolve("both.pem").toString();
+    start(new TlsFiles(both, both, parts.ca()));
+    PemTrust reloading = trust(parts);
+    PemTrust oldOnly = trust(Certificates.of("one").write(other));
+    assertFalse(shakesHands(oldOnly), "another signer of the same name");
+    try (HttpCaller open = caller(reloading)) {
+      assertTrue(answers(open));
+      Certificates.of("two").write(directory);
+      PemTrust fresh = trust(parts);
+      int handshakes = 0;
+      while (!shakesHands(fresh) && handshakes < MAX_HANDSHAKES) {
+        handshakes++;
+      }
+      assertTrue(handshakes < MAX_HANDSHAKES, "the new certificate is never shown");
+      assertTrue(answers(open), "the connection from before has to go on");
+      assertFalse(shakesHands(reloading), "only the old signer is trusted so far");
+      reloading.reload();
+      assertTrue(shakesHands(reloading));
+    }
+  }
+}
--- a/proxy/src/test/java/io/lycheejunction/proxy/caller/CallerHttpTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/caller/CallerHttpTest.java
@@ -12,6 +12,7 @@
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.session.TokenCodec;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.proxy.access.AccessGate;
 import io.lycheejunction.proxy.forward.PeerRoutes;
 import io.lycheejunction.proxy.holder.HeldAnswer;
 import io.lycheejunction.proxy.holder.TransactionStep;
@@ -60,7 +61,7 @@
     List<Object> beans =
         new ArrayList<>(CallerParts.of(fixture.coordinator, codec(), LIMITS).beans());
     Readiness readiness = fixture.coordinator.inFlight()::reasonNotOpen;
-    beans.addAll(List.of(new PeerRoutes(), readiness, registry));
+    beans.addAll(List.of(new PeerRoutes(), readiness, registry, AccessGate.off()));
     server =
         new HttpServer(
             Map.of("micronaut.server.host", "127.0.0.1", "micronaut.server.port", -1), beans);
--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/OperatorControllerTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/OperatorControllerTest.java
@@ -7,6 +7,10 @@
 import io.lycheejunction.common.http.HttpReply;
 import io.lycheejunction.common.json.Json;
 import io.lycheejunction.common.operator.OperatorReply;
+import io.lycheejunction.core.access.Grant;
+import io.lycheejunction.core.access.Keyring;
+import io.lycheejunction.core.access.Scope;
+import io.lycheejunction.proxy.access.AccessGate;
 import io.lycheejunction.proxy.caller.HttpServer;
 import io.lycheejunction.proxy.caller.Readiness;
 import io.lycheejunction.standin.model.FaultInjector;
@@ -25,7 +29,7 @@
     HttpServer server =
         new HttpServer(
             Map.of("micronaut.server.host", "127.0.0.1", "micronaut.server.port", -1),
-            List.of(node.routes(), ready, node.operator()));
+            List.of(node.routes(), ready, node.operator(), AccessGate.off()));
     server.start();
     try (HttpCaller http = HttpCaller.plain(Optional.empty())) {
       String address = "127.0.0.1:" + server.port();
@@ -37,6 +41,39 @@
     }
   }
 
+  @Test
+  void shouldRefuseChangesWhenCredentialAllowsReadsOnly() {
+    Fleet.Node node = Fleet.of(FaultInjector.NONE).node("vm-a");
+    Readiness ready = Optional::empty;
+    Grant read = Grant.of(new Scope.OperatorRead(), "read-key");
+    Grant change = Grant.of(new Scope.OperatorChange(), "change-key");
+    AccessGate gate = AccessGate.of(Keyring.of(List.of(read, change)));
+    HttpServer server =
+        new HttpServer(
+            Map.of("micronaut.server.host", "127.0.0.1", "micronaut.server.port", -1),
+            List.of(node.routes(), ready, node.operator(), gate));
+    server.start();
+    try (HttpCaller http = HttpCaller.plain(Optional.empty())) {
+      String address = "127.0.0.1:" + server.port();
+      List<String> changes =
+          List.of(Fleet.GROUP, "drain target a1", "shutdown proxy vm-a", "promote a1");
+      for (String statement : changes) {
+        assertAnswer(403, "NOT_ALLOWED", send(http, address, statement, "read-key"));
+      }
+      assertAnswer(200, "DONE", send(http, address, "show groups", "read-key"));
+      assertAnswer(200, "DONE", send(http, address, "show groups", "change-key"));
+      assertAnswer(200, "DONE", send(http, address, Fleet.GROUP, "change-key"));
+    } finally {
+      server.stop();
+    }
+  }
+
+  private static HttpReply send(HttpCaller http, String address, String command, String key) {
+    String body = Json.write(Map.of("command", command));
+    List<String> headers = List.of("Authorization", "Bearer " + key);
+    return http.send("POST", address, "/v1/operator", body, headers, TIMEOUT_MS);
+  }
+
   private static HttpReply send(HttpCaller http, String address, String command) {
     String body = Json.write(Map.of("command", command));
     return http.send("POST", address, "/v1/operator", body, List.of(), TIMEOUT_MS);
