Count callers' requests by minute for the burn report

Cause: VMs keep nothing, so a burn report has no counts to read. Change: pure burn-rate arithmetic (core.burn), a fold of the meters once a minute into the object store, a roll-up of finished hours, show burn, the last minute at shutdown. The requests' timer gets a bucket at 250 ms.

--- a/proxy/src/main/java/io/lycheejunction/proxy/platform/HttpObjectStore.java
+++ b/common/src/main/java/io/lycheejunction/common/platform/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package io.lycheejunction.proxy.platform;
+package io.lycheejunction.common.platform;
 
 import io.lycheejunction.common.wire.PlatformAnswer;
 import io.lycheejunction.common.wire.PlatformMessage;
--- a/proxy/src/main/java/io/lycheejunction/proxy/platform/package-info.java
+++ b/common/src/main/java/io/lycheejunction/common/platform/package-info.java
@@ -1,2 +1,2 @@
 /** The adapters that reach the platform by HTTP with JSON. */
-package io.lycheejunction.proxy.platform;
+package io.lycheejunction.common.platform;
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/burn/HourRows.java
@@ -0,0 +1,38 @@
+package io.lycheejunction.core.burn;
+
+import java.util.Map;
+import java.util.Objects;
+import java.util.TreeMap;
+
+/**
+ * The counts that one process has kept of one hour.
+ *
+ * @param writer the process: its VM and when it started
+ * @param hour the hours since the epoch
+ * @param minutes the counts by minute of the hour and by service; a minute without requests has an
+ *     empty row
+ */
+public record HourRows(String writer, long hour, Map<Integer, Map<String, Tally>> minutes) {
+
+  /** Copies the maps. */
+  public HourRows {
+    Objects.requireNonNull(writer, "writer is null");
+    Objects.requireNonNull(minutes, "minutes is null");
+    minutes = Map.copyOf(minutes);
+  }
+
+  /**
+   * Returns the rows with counts added to a minute.
+   *
+   * @param minute the minute of the hour
+   * @param counts the counts by service
+   * @return the new rows
+   */
+  public HourRows plus(int minute, Map<String, Tally> counts) {
+    Map<Integer, Map<String, Tally>> next = new TreeMap<>(minutes);
+    Map<String, Tally> row = new TreeMap<>(minutes.getOrDefault(minute, Map.of()));
+    counts.forEach((service, tally) -> row.merge(service, tally, Tally::plus));
+    next.put(minute, Map.copyOf(row));
+    return new HourRows(writer, hour, next);
+  }
+}
--- a/proxy/src/main/java/io/lycheejunction/proxy/Adapters.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/Adapters.java
@@ -1,15 +1,15 @@
 package io.lycheejunction.proxy;
 
 import io.lycheejunction.common.http.HttpCaller;
+import io.lycheejunction.common.platform.HttpObjectStore;
+import io.lycheejunction.common.platform.HttpPlatformTable;
+import io.lycheejunction.common.platform.HttpVmDirectory;
+import io.lycheejunction.common.platform.PlatformCalls;
 import io.lycheejunction.core.port.PeerTransport;
 import io.lycheejunction.core.port.TargetPort;
 import io.lycheejunction.proxy.forward.HttpPeerTransport;
 import io.lycheejunction.proxy.forward.PeerRoutes;
 import io.lycheejunction.proxy.operator.Control;
-import io.lycheejunction.proxy.platform.HttpObjectStore;
-import io.lycheejunction.proxy.platform.HttpPlatformTable;
-import io.lycheejunction.proxy.platform.HttpVmDirectory;
-import io.lycheejunction.proxy.platform.PlatformCalls;
 import io.lycheejunction.proxy.target.HttpTargetPort;
 import java.net.InetAddress;
 import java.net.UnknownHostException;
--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
@@ -1,11 +1,15 @@
 package io.lycheejunction.proxy;
 
+import io.lycheejunction.common.burn.BurnStore;
 import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.core.language.Statement.Subject;
 import io.lycheejunction.core.port.Vm;
 import io.lycheejunction.core.retry.RetryBudget;
 import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.TokenCodec;
+import io.lycheejunction.proxy.burn.BurnFold;
+import io.lycheejunction.proxy.burn.BurnTable;
+import io.lycheejunction.proxy.burn.Rollup;
 import io.lycheejunction.proxy.caller.CallerMetrics;
 import io.lycheejunction.proxy.caller.CallerParts;
 import io.lycheejunction.proxy.caller.Coordinator;
@@ -21,6 +25,7 @@
 import io.lycheejunction.proxy.operator.Shutdown;
 import io.lycheejunction.proxy.operator.Tables;
 import io.lycheejunction.proxy.supervisor.Child;
+import io.lycheejunction.proxy.supervisor.Drainable;
 import io.lycheejunction.proxy.supervisor.Periodic;
 import io.lycheejunction.proxy.supervisor.Supervisor;
 import io.micrometer.prometheusmetrics.PrometheusConfig;
@@ -48,6 +53,7 @@
   private final Groups groups;
   private final PooledHolders holders;
   private final Coordinator coordinator;
+  private final BurnFold burn;
   private final Shutdown shutdown;
   private final Supervisor root;
 
@@ -67,9 +73,9 @@
     this.groups = groups();
     this.holders = holders();
     this.coordinator = coordinator();
-    this.shutdown =
-        control.shutdown(
-            DrainOrder.of(settings.noticeMs(), coordinator.inFlight(), holders, clock));
+    this.burn =
+        new BurnFold(settings.vm(), registry, new BurnStore(adapters.ports().objects()), clock);
+    this.shutdown = control.shutdown(drains());
     this.root = new Supervisor("proxy", children(tokens), clock);
   }
 
@@ -144,10 +150,26 @@
         new CallerMetrics(registry));
   }
 
+  private List<Drainable> drains() {
+    List<Drainable> parts =
+        new ArrayList<>(DrainOrder.of(settings.noticeMs(), coordinator.inFlight(), holders, clock));
+    parts.add(burn);
+    return parts;
+  }
+
+  private Rollup rollup() {
+    return new Rollup(
+        settings.vm(),
+        control.membership()::live,
+        new BurnStore(adapters.ports().objects()),
+        clock);
+  }
+
   private Operator operator() {
     Tables tables = new Tables();
     control.watch(registry);
     tables.add(Subject.REFUSED, new RefusedTable(registry)::table);
+    tables.add(Subject.BURN, new BurnTable(burn, clock)::table);
     return control.operator(
         tables,
         groups.watch(),
@@ -174,6 +196,8 @@
     children.add(groups.child());
     children.add(periodic("holder", REBALANCE_INTERVAL_MS, holders::rebalance));
     children.add(periodic("settler", SETTLE_INTERVAL_MS, coordinator.settler()::settle));
+    children.add(periodic("burn", BurnFold.INTERVAL_MS, burn::fold));
+    children.add(periodic("burn-rollup", Rollup.INTERVAL_MS, rollup()::tick));
     children.add(server(tokens));
     return children;
   }
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/burn/BurnFold.java
@@ -0,0 +1,145 @@
+package io.lycheejunction.proxy.burn;
+
+import io.lycheejunction.common.burn.BurnStore;
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.burn.History;
+import io.lycheejunction.core.burn.HourRows;
+import io.lycheejunction.core.burn.HourSum;
+import io.lycheejunction.core.burn.Tally;
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.proxy.supervisor.Drainable;
+import io.micrometer.core.instrument.MeterRegistry;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.NavigableMap;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** Folds the meters into rows by minute and keeps the rows in the object store. */
+public final class BurnFold implements Drainable {
+  /** The time between two folds, in milliseconds. */
+  public static final long INTERVAL_MS = 60_000;
+
+  /** The largest number of hours that are kept while the store cannot be written. */
+  public static final int MAX_HOURS = 24;
+
+  private static final EventLog LOG = EventLog.of(BurnFold.class);
+  private static final int MINUTES_AN_HOUR = 60;
+  private static final int LAST_ATTEMPTS = 3;
+  private static final int SHOWN_HOURS = 2;
+
+  private final MeterCounts meters;
+  private final BurnStore store;
+  private final RuntimeClock clock;
+  private final String writer;
+  private final NavigableMap<Long, HourRows> hours = new TreeMap<>();
+  private final Set<Long> unsaved = new HashSet<>();
+  private long fromMs;
+  private long droppedMinutes;
+  private int lastAttempts;
+
+  /**
+   * Creates the fold.
+   *
+   * @param vm the name of this proxy's VM
+   * @param registry keeps the meters of callers' requests
+   * @param store keeps the rows
+   * @param clock the runtime clock
+   */
+  public BurnFold(String vm, MeterRegistry registry, BurnStore store, RuntimeClock clock) {
+    this.meters = new MeterCounts(registry);
+    this.store = Objects.requireNonNull(store, "store is null");
+    this.clock = Objects.requireNonNull(clock, "clock is null");
+    this.fromMs = clock.wallMs();
+    this.writer = Objects.requireNonNull(vm, "vm is null") + "/" + fromMs;
+  }
+
+  /**
+   * Adds the counts since the last fold to the minute in which that was, and writes the rows; a
+   * single minute that the interval steps over gets an empty row.
+   */
+  public synchronized void fold() {
+    long minute = fromMs / INTERVAL_MS;
+    fromMs = clock.wallMs();
+    add(minute, meters.take());
+    if (fromMs / INTERVAL_MS == minute + 2) {
+      add(minute + 1, Map.of());
+    }
+    save();
+    trim();
+  }
+
+  private void add(long minute, Map<String, Tally> counts) {
+    long hour = minute / MINUTES_AN_HOUR;
+    HourRows rows = hours.getOrDefault(hour, new HourRows(writer, hour, Map.of()));
+    hours.put(hour, rows.plus((int) (minute % MINUTES_AN_HOUR), counts));
+    unsaved.add(hour);
+  }
+
+  private void save() {
+    for (HourRows rows : hours.values()) {
+      if (!unsaved.contains(rows.hour())) {
+        continue;
+      }
+      if (store.put(rows) instanceof Result.Failure<String> failure) {
+        LOG.warn("burn_not_saved", "hours", unsaved.size(), "cause", failure.fault().detail());
+        return;
+      }
+      unsaved.remove(rows.hour());
+    }
+  }
+
+  private void trim() {
+    while (hours.size() > SHOWN_HOURS && !unsaved.contains(hours.firstKey())) {
+      hours.pollFirstEntry();
+    }
+    while (hours.size() > MAX_HOURS) {
+      HourRows dropped = hours.pollFirstEntry().getValue();
+      unsaved.remove(dropped.hour());
+      droppedMinutes += dropped.minutes().size();
+      LOG.warn("burn_dropped", "hour", dropped.hour(), "minutes", dropped.minutes().size());
+    }
+  }
+
+  /**
+   * Returns how many minutes were dropped because the store could not be written for too long.
+   *
+   * @return the number of minutes since the start
+   */
+  public synchronized long droppedMinutes() {
+    return droppedMinutes;
+  }
+
+  /**
+   * Returns this proxy's own counts of the last hours.
+   *
+   * @return the history
+   */
+  synchronized History history() {
+    List<HourSum> sums =
+        hours.values().stream().map(rows -> HourSum.of(rows.hour(), List.of(rows))).toList();
+    return History.of(sums);
+  }
+
+  @Override
+  public void drain() {
+    fold();
+  }
+
+  @Override
+  public synchronized boolean awaitIdle(long timeoutMs) {
+    while (!unsaved.isEmpty() && lastAttempts < LAST_ATTEMPTS) {
+      lastAttempts++;
+      save();
+    }
+    return unsaved.isEmpty() || lastAttempts >= LAST_ATTEMPTS;
+  }
+
+  @Override
+  public synchronized String waitingFor() {
+    return unsaved.isEmpty() ? "" : "counts of " + unsaved.size() + " hours to be saved";
+  }
+}
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/burn/package-info.java
@@ -0,0 +1,2 @@
+/** The counting of callers' requests for the burn report. */
+package io.lycheejunction.proxy.burn;
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/CallerMetrics.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/CallerMetrics.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.proxy.caller;
 
+import io.lycheejunction.core.burn.Objective;
 import io.lycheejunction.core.port.Role;
 import io.lycheejunction.core.result.ResultCode;
 import io.micrometer.core.instrument.Gauge;
@@ -52,6 +53,7 @@
         .tag("access", kind.name().toLowerCase(Locale.ROOT))
         .tag("code", String.valueOf(code.number()))
         .publishPercentileHistogram()
+        .serviceLevelObjectives(Duration.ofMillis(Objective.LATENCY_MS))
         .register(registry)
         .record(Duration.ofMillis(durationMs));
   }
--- /dev/null
+++ b/proxy/src/test/java/io/lycheejunction/proxy/burn/BurnFoldTest.java
@@ -0,0 +1,185 @@
+package io.lycheejunction.proxy.burn;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.common.burn.BurnStore;
+import io.lycheejunction.core.burn.HourSum;
+import io.lycheejunction.core.burn.MinuteSum;
+import io.lycheejunction.core.burn.Objective;
+import io.lycheejunction.core.burn.Tally;
+import io.lycheejunction.core.clock.ManualClock;
+import io.lycheejunction.core.port.Vm;
+import io.lycheejunction.core.result.ResultCode;
+import io.micrometer.core.instrument.Timer;
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class BurnFoldTest {
+  private static final long HOUR_MS = 3_600_000;
+
+  private final FakeStore objects = new FakeStore();
+  private final BurnStore store = new BurnStore(objects);
+  private final ManualClock clock = ManualClock.paused();
+  private final PrometheusMeterRegistry registry =
+      new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+  private final BurnFold fold = new BurnFold("vm", registry, store, clock);
+
+  private void request(ResultCode code, long durationMs) {
+    Timer.builder("lycheejunction.requests")
+        .tag("service", "orders")
+        .tag("access", "read")
+        .tag("code", String.valueOf(code.number()))
+        .publishPercentileHistogram()
+        .serviceLevelObjectives(Duration.ofMillis(Objective.LATENCY_MS))
+        .register(registry)
+        .record(Duration.ofMillis(durationMs));
+  }
+
+  private long hour() {
+    return clock.wallMs() / HOUR_MS;
+  }
+
+  private Tally saved(long fromHour) {
+    Tally sum = Tally.empty();
+    for (long hour = fromHour; hour <= hour(); hour++) {
+      HourSum empty = new HourSum(hour, Map.of());
+      for (MinuteSum minute : store.sum(hour).getOrElse(empty).minutes().values()) {
+        sum = sum.plus(minute.services().getOrDefault("orders", Tally.empty()));
+      }
+    }
+    return sum;
+  }
+
+  @Nested
+  class Fold {
+    @Test
+    void shouldCountEachRequestOnceWhenFoldedAgain() {
+      final long start = hour();
+      request(ResultCode.DONE, 10);
+      request(ResultCode.DONE, 900);
+      request(ResultCode.AGE_NOT_PROVEN, 1);
+      fold.fold();
+      clock.advanceMs(BurnFold.INTERVAL_MS);
+      fold.fold();
+      assertEquals(new Tally(2, 1, 1, 2, 1, Map.of(1402, 1L)), saved(start));
+    }
+
+    @Test
+    void shouldLoseNothingWhenTheStoreIsDownThenUp() {
+      final long start = hour();
+      objects.down = true;
+      for (int i = 0; i < 90; i++) {
+        request(ResultCode.DONE, 10);
+        fold.fold();
+        clock.advanceMs(BurnFold.INTERVAL_MS);
+      }
+      objects.down = false;
+      fold.fold();
+      assertEquals(90, saved(start).done());
+      assertEquals(0, fold.droppedMinutes());
+    }
+
+    @Test
+    void shouldCountOnceWhenTheReplyOfThePutIsLost() {
+      final long start = hour();
+      objects.losesReplies = true;
+      request(ResultCode.DONE, 10);
+      fold.fold();
+      objects.losesReplies = false;
+      fold.fold();
+      assertEquals(1, saved(start).done());
+    }
+
+    @Test
+    void shouldKeepBothCountsWhenTheProcessRestartsInTheSameMinute() {
+      final long start = hour();
+      request(ResultCode.DONE, 10);
+      fold.fold();
+      clock.advanceMs(1);
+      PrometheusMeterRegistry fresh = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+      new BurnFold("vm", fresh, store, clock).fold();
+      assertEquals(1, saved(start).done());
+      assertEquals(2, objects.objects.size());
+    }
+
+    @Test
+    void shouldDropTheOldestHourAndCountItsMinutesWhenTheStoreIsDownForLong() {
+      objects.down = true;
+      for (int i = 0; i < BurnFold.MAX_HOURS + 2; i++) {
+        fold.fold();
+        clock.advanceMs(HOUR_MS);
+      }
+      assertTrue(fold.droppedMinutes() > 0);
+    }
+
+    @Test
+    void shouldPutOneObjectWhenTheStoreIsUp() {
+      fold.fold();
+      assertEquals(1, objects.puts);
+    }
+  }
+
+  @Nested
+  class Drain {
+    @Test
+    void shouldSaveTheLastPartialMinute() {
+      final long start = hour();
+      fold.fold();
+      request(ResultCode.DONE, 10);
+      fold.drain();
+      assertTrue(fold.awaitIdle(1));
+      assertEquals(1, saved(start).done());
+    }
+
+    @Test
+    void shouldGiveUpAndNameTheLossWhenTheStoreIsDown() {
+      objects.down = true;
+      fold.drain();
+      assertTrue(fold.awaitIdle(1));
+      assertFalse(fold.waitingFor().isEmpty());
+    }
+  }
+
+  @Nested
+  class RollUp {
+    private Rollup rollup(String name) {
+      Vm vm = new Vm(name, Vm.Kind.ENTRY, "a", "127.0.0.1:1", false);
+      return new Rollup(name, () -> List.of(vm), store, clock);
+    }
+
+    @Test
+    void shouldBeTheSameWhenTwoProxiesSumUpTheSameHour() {
+      final long start = hour();
+      request(ResultCode.DONE, 10);
+      fold.fold();
+      clock.advanceMs(HOUR_MS + HOUR_MS / 2);
+      rollup("a").tick();
+      final Optional<HourSum> first = store.rollup(start).getOrElse(Optional.empty());
+      rollup("b").tick();
+      assertTrue(first.isPresent());
+      assertEquals(first, store.rollup(start).getOrElse(Optional.empty()));
+      assertEquals(store.sum(start).getOrElse(new HourSum(0, Map.of())), first.get());
+    }
+
+    @Test
+    void shouldTryAgainWhenTheStoreWasDown() {
+      final long start = hour();
+      fold.fold();
+      clock.advanceMs(HOUR_MS + HOUR_MS / 2);
+      Rollup rollup = rollup("a");
+      objects.down = true;
+      rollup.tick();
+      objects.down = false;
+      rollup.tick();
+      assertTrue(store.rollup(start).getOrElse(Optional.empty()).isPresent());
+    }
+  }
+}
