--- a/common/src/main/java/io/lycheejunction/common/burn/BurnStore.java
+++ b/common/src/main/java/io/lycheejunction/common/burn/BurnStore.java
@@ -9,12 +9,16 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * Keeps counts as objects: {@code burn/HOUR/VM/START} from each process and {@code
  * burn-rollup/HOUR} for all.
  */
 public final class BurnStore {
+  private static final String ROLLUP_PREFIX = "burn-rollup/";
+
   private final ObjectStore store;
 
   /**
@@ -65,7 +69,7 @@
    * @return the name
    */
   public Result<String> putRollup(HourSum sum) {
-    return store.put("burn-rollup/" + sum.hour(), Json.write(sum));
+    return store.put(ROLLUP_PREFIX + sum.hour(), Json.write(sum));
   }
 
   /**
@@ -75,7 +79,22 @@
    * @return the sum, or empty if none is written
    */
   public Result<Optional<HourSum>> rollup(long hour) {
-    return read("burn-rollup/" + hour, HourSum.class);
+    return read(ROLLUP_PREFIX + hour, HourSum.class);
+  }
+
+  /**
+   * Returns the hours whose sums are written.
+   *
+   * @return the hours since the epoch
+   */
+  public Result<Set<Long>> rollupHours() {
+    return store
+        .list(ROLLUP_PREFIX)
+        .map(
+            names ->
+                names.stream()
+                    .map(name -> Long.valueOf(name.substring(ROLLUP_PREFIX.length())))
+                    .collect(Collectors.toSet()));
   }
 
   private <T> Result<Optional<T>> read(String name, Class<T> type) {
