Begin the shutdown when the platform's list says that the own VM leaves

Cause: a proxy read the list only for what it says of others, so a VM that the platform takes away was drained by nobody. Change: the list's poll runs the shutdown's one path once, at the first list that marks the own VM as leaving. Shown by MembershipFaultsTest, shouldLeaveWhenListSaysThatOwnVmLeaves.

--- a/proxy/src/main/java/io/lycheejunction/proxy/membership/VmListPoll.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/membership/VmListPoll.java
@@ -25,6 +25,7 @@
   private final Heartbeats heartbeats;
   private final AppliedLog applied;
   private volatile boolean listUp = true;
+  private volatile Runnable selfLeaving = () -> {};
 
   /**
    * Creates the poll.
@@ -53,6 +54,15 @@
     return Math.max(MIN_INTERVAL_MS, proxies * MS_PER_SECOND / READS_PER_SECOND);
   }
 
+  /**
+   * Sets what is run, once, when the list says that this proxy's own VM is leaving.
+   *
+   * @param action the action, which must not block
+   */
+  public void whenSelfLeaving(Runnable action) {
+    selfLeaving = Objects.requireNonNull(action, "action is null");
+  }
+
   /** Reads the list once. */
   public void poll() {
     directory.list().fold(this::failed, this::listed);
@@ -76,9 +86,18 @@
         tellHolder(target);
       }
     }
+    if (vms.stream().anyMatch(this::isSelfLeaving)) {
+      Runnable action = selfLeaving;
+      selfLeaving = () -> {};
+      action.run();
+    }
     return true;
   }
 
+  private boolean isSelfLeaving(Vm vm) {
+    return vm.leaving() && vm.name().equals(membership.self().name());
+  }
+
   private Set<String> leaving() {
     return applied.current().groups().values().stream()
         .flatMap(group -> group.targets().stream())
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
@@ -106,13 +106,16 @@
   }
 
   /**
-   * Returns the shutdown of this proxy.
+   * Returns the shutdown of this proxy, which also begins when the platform's list says that this
+   * proxy's VM is leaving.
    *
    * @param parts the parts that finish their work, in the order in which they drain
    * @return the shutdown
    */
   public Shutdown shutdown(List<Drainable> parts) {
-    return new Shutdown(clock, heartbeats::announceLeaving, parts);
+    Shutdown shutdown = new Shutdown(clock, heartbeats::announceLeaving, parts);
+    list.whenSelfLeaving(() -> shutdown.begin("list"));
+    return shutdown;
   }
 
   /**
--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/MembershipFaultsTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/MembershipFaultsTest.java
@@ -175,6 +175,18 @@
       assertEquals("a transaction", leaving.shutdown().waitingFor());
     }
 
+    @Test
+    void shouldLeaveWhenListSaysThatOwnVmLeaves() throws InterruptedException {
+      rounds(2);
+      fleet.platform.setLeaving("vm-b", true);
+      node("vm-a").control().list().poll();
+      assertTrue(node("vm-a").shutdown().reasonNotReady().isEmpty());
+      node("vm-b").control().list().poll();
+      assertTrue(node("vm-b").shutdown().reasonNotReady().isPresent());
+      node("vm-b").shutdown().awaitDrained();
+      assertEquals(List.of("vm-a", "vm-c"), live("vm-c"));
+    }
+
     @Test
     void shouldReachProxyWhenAnotherIsAsked() throws InterruptedException {
       rounds(2);
