--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.bench;
 
+import io.lycheejunction.bench.config.ConfigBench;
 import io.lycheejunction.bench.demo.DemoBench;
 import io.lycheejunction.bench.demo.PlanBench;
 import io.lycheejunction.common.clock.SystemRuntimeClock;
@@ -15,7 +16,8 @@
   private static final int EXIT_INTERRUPTED = 1;
   private static final HttpCaller HTTP = HttpCaller.plain(Optional.empty());
   private static final List<Bench> BENCHES =
-      List.of(new PlanBench(HTTP), new DemoBench(HTTP, new SystemRuntimeClock()));
+      List.of(
+          new PlanBench(HTTP), new DemoBench(HTTP, new SystemRuntimeClock()), new ConfigBench());
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/config/UnwatchedGroups.java
@@ -0,0 +1,52 @@
+package io.lycheejunction.bench.config;
+
+import io.lycheejunction.core.group.GroupView;
+import io.lycheejunction.core.group.GroupWatch;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import java.util.OptionalLong;
+
+/** Knows nothing of any group. */
+final class UnwatchedGroups implements GroupWatch {
+  @Override
+  public GroupView view(String group) {
+    return GroupView.unknown(group);
+  }
+
+  @Override
+  public void learn(GroupView view) {}
+
+  @Override
+  public GroupView awaitHigherTerm(String group, long term, long timeoutMs) {
+    return view(group);
+  }
+
+  @Override
+  public Result<GroupView> confirmTerm(String group, long term, long timeoutMs) {
+    return Result.failure(ResultCode.NO_PRIMARY, group);
+  }
+
+  @Override
+  public Result<GroupView> confirmReceived(String group, LogPosition position, long timeoutMs) {
+    return Result.failure(ResultCode.UNKNOWN_OUTCOME, group);
+  }
+
+  @Override
+  public boolean mayAcknowledge(String group, long term) {
+    return false;
+  }
+
+  @Override
+  public OptionalLong ageMs(String group, LogPosition applied) {
+    return OptionalLong.empty();
+  }
+
+  @Override
+  public LogPosition applied(String group, String target) {
+    return LogPosition.ORIGIN;
+  }
+
+  @Override
+  public void unreachable(String group, String target, boolean refused) {}
+}
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/config/package-info.java
@@ -0,0 +1,2 @@
+/** The measurement of how the configuration spreads over a fleet of proxies. */
+package io.lycheejunction.bench.config;
