Read the list of VMs within a byte budget

Change: the interval grows with the list's bytes to 1.5 KB/s a proxy and is spread by half; the fleet together still reads it 11 times a second. A refused change is also judged again if another thread applied a row between the refusal and the read of the table's tail (found by reading; no test). A proxy may see its own VM marked as leaving later in a large fleet: 61 s on average between its reads at 710.

--- a/proxy/src/main/java/io/lycheejunction/proxy/configuration/ConfigurationWriter.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/configuration/ConfigurationWriter.java
@@ -79,7 +79,7 @@
       }
       Result<LogRow> row = row(asked, before);
       if (row instanceof Result.Failure<LogRow> refused) {
-        Result<Boolean> newer = readTail();
+        Result<Boolean> newer = readTail(before.version());
         if (newer.getOrElse(false)) {
           continue;
         }
@@ -116,10 +116,10 @@
   }
 
   /**
-   * Returns whether the table had rows that were not applied here: a refusal needs the last row.
+   * Returns whether there are rows after the version that a refusal was based on, read from the
+   * table here or applied meanwhile by others: a refusal needs the last row.
    */
-  private Result<Boolean> readTail() {
-    long before = applied.current().version();
+  private Result<Boolean> readTail(long before) {
     return table
         .scan(ConfigurationLog.TABLE, ChangeRow.key(before), SCAN_ROWS)
         .map(
--- a/proxy/src/main/java/io/lycheejunction/proxy/membership/Membership.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/membership/Membership.java
@@ -114,6 +114,17 @@
     return Math.max(1, live().size());
   }
 
+  /**
+   * Returns an interval drawn between half and one and a half times the mean, so that proxies which
+   * start together do not stay in step.
+   *
+   * @param meanMs the mean, in milliseconds
+   * @return the interval in milliseconds
+   */
+  public long spreadMs(long meanMs) {
+    return meanMs / 2 + draw(Math.toIntExact(meanMs));
+  }
+
   /**
    * Returns a number below the given one.
    *
--- a/proxy/src/main/java/io/lycheejunction/proxy/membership/VmListPoll.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/membership/VmListPoll.java
@@ -16,8 +16,9 @@
 /** Reads the platform's list, and tells the holder of a target at the first sign that it leaves. */
 public final class VmListPoll {
   private static final EventLog LOG = EventLog.of(VmListPoll.class);
-  private static final long READS_PER_SECOND = 200;
   private static final long MIN_INTERVAL_MS = 500;
+  private static final long ENTRY_BYTES = 130;
+  private static final long BUDGET_BYTES_PER_SECOND = 1_500;
   private static final long MS_PER_SECOND = 1_000;
 
   private final VmDirectory directory;
@@ -44,14 +45,15 @@
   }
 
   /**
-   * Returns the time between two polls, with which all proxies together stay within the budget of
-   * list reads.
+   * Returns the mean time between two polls of one proxy, with which the list's bytes stay within a
+   * budget; the fleet together reads the list as often at any size.
    *
    * @param proxies the number of proxies
    * @return the interval in milliseconds
    */
   public static long pollIntervalMs(int proxies) {
-    return Math.max(MIN_INTERVAL_MS, proxies * MS_PER_SECOND / READS_PER_SECOND);
+    return Math.max(
+        MIN_INTERVAL_MS, proxies * ENTRY_BYTES * MS_PER_SECOND / BUDGET_BYTES_PER_SECOND);
   }
 
   /**
--- a/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/operator/Control.java
@@ -96,7 +96,7 @@
         new Periodic(
             "membership",
             clock,
-            () -> VmListPoll.pollIntervalMs(membership.fleetSize()),
+            () -> membership.spreadMs(VmListPoll.pollIntervalMs(membership.fleetSize())),
             list::poll),
         new Periodic(
             "heartbeat",
