--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.bench;
 
+import io.lycheejunction.bench.config.ConfigBench;
 import io.lycheejunction.bench.demo.DemoBench;
 import io.lycheejunction.bench.demo.PlanBench;
 import io.lycheejunction.bench.overhead.OverheadBench;
@@ -19,7 +20,8 @@
       List.of(
           new PlanBench(HTTP),
           new DemoBench(HTTP, new SystemRuntimeClock()),
-          new OverheadBench(HTTP, new SystemRuntimeClock()));
+          new OverheadBench(HTTP, new SystemRuntimeClock()),
+          new ConfigBench());
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
--- a/proxy/src/main/java/io/lycheejunction/proxy/membership/VmListPoll.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/membership/VmListPoll.java
@@ -16,8 +16,9 @@
 /** Reads the platform's list, and tells the holder of a target at the first sign that it leaves. */
 public final class VmListPoll {
   private static final EventLog LOG = EventLog.of(VmListPoll.class);
-  private static final long READS_PER_SECOND = 200;
   private static final long MIN_INTERVAL_MS = 500;
+  private static final long ENTRY_BYTES = 130;
+  private static final long BUDGET_BYTES_PER_SECOND = 1_500;
   private static final long MS_PER_SECOND = 1_000;
 
   private final VmDirectory directory;
@@ -25,6 +26,7 @@
   private final Heartbeats heartbeats;
   private final AppliedLog applied;
   private volatile boolean listUp = true;
+  private volatile Runnable selfLeaving = () -> {};
 
   /**
    * Creates the poll.
@@ -43,14 +45,24 @@
   }
 
   /**
-   * Returns the time between two polls, with which all proxies together stay within the budget of
-   * list reads.
+   * Returns the mean time between two polls of one proxy, with which the list's bytes stay within a
+   * budget; the fleet together reads the list as often at any size.
    *
    * @param proxies the number of proxies
    * @return the interval in milliseconds
    */
   public static long pollIntervalMs(int proxies) {
-    return Math.max(MIN_INTERVAL_MS, proxies * MS_PER_SECOND / READS_PER_SECOND);
+    return Math.max(
+        MIN_INTERVAL_MS, proxies * ENTRY_BYTES * MS_PER_SECOND / BUDGET_BYTES_PER_SECOND);
+  }
+
+  /**
+   * Sets what is run, once, when the list says that this proxy's own VM is leaving.
+   *
+   * @param action the action, which must not block
+   */
+  public void whenSelfLeaving(Runnable action) {
+    selfLeaving = Objects.requireNonNull(action, "action is null");
   }
 
   /** Reads the list once. */
@@ -76,9 +88,18 @@
         tellHolder(target);
       }
     }
+    if (vms.stream().anyMatch(this::isSelfLeaving)) {
+      Runnable action = selfLeaving;
+      selfLeaving = () -> {};
+      action.run();
+    }
     return true;
   }
 
+  private boolean isSelfLeaving(Vm vm) {
+    return vm.leaving() && vm.name().equals(membership.self().name());
+  }
+
   private Set<String> leaving() {
     return applied.current().groups().values().stream()
         .flatMap(group -> group.targets().stream())
