Add benches of failover, durability and suspicion

Cause: the gap after a failed primary, the price of acknowledgement by a majority and the bound of suspicion had no bench.

Change: failover and durability run stand-ins and six proxies for each user in one process, strike the primary of a new group in each round and compare acknowledged orders with the ledger. false-promotions and suspicion run the proxy's decisions in virtual time.

--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -2,6 +2,10 @@
 
 import io.lycheejunction.bench.demo.DemoBench;
 import io.lycheejunction.bench.demo.PlanBench;
+import io.lycheejunction.bench.failover.DurabilityBench;
+import io.lycheejunction.bench.failover.FailoverBench;
+import io.lycheejunction.bench.failover.FalsePromotionsBench;
+import io.lycheejunction.bench.failover.SuspicionBench;
 import io.lycheejunction.common.clock.SystemRuntimeClock;
 import io.lycheejunction.common.http.HttpCaller;
 import io.lycheejunction.common.settings.Program;
@@ -15,7 +19,13 @@
   private static final int EXIT_INTERRUPTED = 1;
   private static final HttpCaller HTTP = HttpCaller.plain(Optional.empty());
   private static final List<Bench> BENCHES =
-      List.of(new PlanBench(HTTP), new DemoBench(HTTP, new SystemRuntimeClock()));
+      List.of(
+          new PlanBench(HTTP),
+          new DemoBench(HTTP, new SystemRuntimeClock()),
+          new FailoverBench(HTTP, new SystemRuntimeClock()),
+          new DurabilityBench(HTTP, new SystemRuntimeClock()),
+          new FalsePromotionsBench(),
+          new SuspicionBench());
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/failover/package-info.java
@@ -0,0 +1,2 @@
+/** The benches of failover, acknowledgement and suspicion. */
+package io.lycheejunction.bench.failover;
--- a/common/src/main/java/io/lycheejunction/common/wire/FaultMessage.java
+++ b/common/src/main/java/io/lycheejunction/common/wire/FaultMessage.java
@@ -22,6 +22,7 @@
   @JsonSubTypes.Type(value = FaultMessage.TableDown.class, name = "table-down"),
   @JsonSubTypes.Type(value = FaultMessage.TableSlow.class, name = "table-slow"),
   @JsonSubTypes.Type(value = FaultMessage.LoseReplies.class, name = "table-lose-replies"),
+  @JsonSubTypes.Type(value = FaultMessage.LoseProbes.class, name = "lose-probes"),
 })
 public sealed interface FaultMessage {
   /** The path before the name of the fault. */
@@ -140,4 +141,12 @@
    * @param count the number of writes
    */
   record LoseReplies(int count) implements FaultMessage {}
+
+  /**
+   * Loses a share of the instances' answers to status requests.
+   *
+   * @param perThousand the share, in thousandths
+   * @param seed the seed of the choice
+   */
+  record LoseProbes(long perThousand, long seed) implements FaultMessage {}
 }
--- a/standin/src/main/java/io/lycheejunction/standin/Faults.java
+++ b/standin/src/main/java/io/lycheejunction/standin/Faults.java
@@ -10,8 +10,9 @@
  * @param links the links between failure domains
  * @param platform the platform
  * @param groups the database groups
+ * @param probeLoss chooses the answers to status requests that are lost
  */
-record Faults(Links links, PlatformModel platform, Groups groups) {
+record Faults(Links links, PlatformModel platform, Groups groups, ProbeLoss probeLoss) {
 
   void set(FaultMessage message) {
     switch (message) {
@@ -35,6 +36,7 @@
       case FaultMessage.TableDown(boolean down) -> platform.setDown(down);
       case FaultMessage.TableSlow(long slowMs) -> platform.setSlowMs(slowMs);
       case FaultMessage.LoseReplies(int count) -> platform.loseReplies(count);
+      case FaultMessage.LoseProbes(long perThousand, long seed) -> probeLoss.set(perThousand, seed);
     }
   }
 }
--- a/standin/src/main/java/io/lycheejunction/standin/Groups.java
+++ b/standin/src/main/java/io/lycheejunction/standin/Groups.java
@@ -29,16 +29,19 @@
   private final Network network;
   private final PlatformModel platform;
   private final InetAddress ip;
+  private final ProbeLoss probeLoss;
   private final Map<String, GroupModel> models = new LinkedHashMap<>();
   private final Map<String, InstanceServer> servers = new LinkedHashMap<>();
   private final List<Listing> listings = new ArrayList<>();
   private int nextPort;
 
-  Groups(Network network, PlatformModel platform, InetAddress ip, int firstPort) {
+  Groups(
+      Network network, PlatformModel platform, InetAddress ip, int firstPort, ProbeLoss probeLoss) {
     this.network = network;
     this.platform = platform;
     this.ip = ip;
     this.nextPort = firstPort;
+    this.probeLoss = probeLoss;
   }
 
   /** Creates a group, with its instances over the failure domains in turn. */
@@ -79,7 +82,8 @@
 
   private void start(
       GroupSettings settings, GroupModel model, TargetSpec target, Endpoint endpoint) {
-    InstanceServer server = new InstanceServer(network, model, target, settings.slots(), endpoint);
+    InstanceServer server =
+        new InstanceServer(network, model, target, settings.slots(), endpoint, probeLoss);
     servers.put(target.name(), server);
     server.start();
     platform.putVm(
--- a/standin/src/main/java/io/lycheejunction/standin/InstanceServer.java
+++ b/standin/src/main/java/io/lycheejunction/standin/InstanceServer.java
@@ -32,17 +32,24 @@
   private final TargetSpec target;
   private final int slots;
   private final Endpoint endpoint;
+  private final ProbeLoss probeLoss;
   private final Map<String, ModelSession> sessions = new ConcurrentHashMap<>();
   private final AtomicLong lastSession = new AtomicLong();
   private volatile Semaphore freeSlots;
 
   InstanceServer(
-      Network network, GroupModel group, TargetSpec target, int slots, Endpoint endpoint) {
+      Network network,
+      GroupModel group,
+      TargetSpec target,
+      int slots,
+      Endpoint endpoint,
+      ProbeLoss probeLoss) {
     this.network = network;
     this.group = group;
     this.target = target;
     this.slots = slots;
     this.endpoint = endpoint;
+    this.probeLoss = probeLoss;
     this.freeSlots = new Semaphore(slots, true);
   }
 
@@ -87,7 +94,13 @@
     TargetAnswer answer = serve(message.getOrElse(null));
     awaitRunning();
     network.sleepMs(delayMs);
-    return isCut(source) ? hold() : Optional.of(Endpoint.Answer.ok(answer));
+    boolean lost = isProbe(message.getOrElse(null)) && probeLoss.losesNext();
+    return lost || isCut(source) ? hold() : Optional.of(Endpoint.Answer.ok(answer));
+  }
+
+  private static boolean isProbe(TargetMessage message) {
+    return message instanceof TargetMessage.Status
+        || message instanceof TargetMessage.AwaitReceived;
   }
 
   private boolean isCut(String source) {
--- a/standin/src/main/java/io/lycheejunction/standin/Standin.java
+++ b/standin/src/main/java/io/lycheejunction/standin/Standin.java
@@ -31,8 +31,9 @@
     links = new Links(settings.domainDelayMs());
     Network network = new Network(settings.domains(), links, clock);
     vms = new VmList(network, platform, ip);
-    groups = new Groups(network, platform, ip, settings.firstInstancePort());
-    faults = new Faults(links, platform, groups);
+    ProbeLoss probeLoss = new ProbeLoss();
+    groups = new Groups(network, platform, ip, settings.firstInstancePort(), probeLoss);
+    faults = new Faults(links, platform, groups, probeLoss);
     settings.groups().forEach(groups::create);
     endpoint = new Endpoint(new InetSocketAddress(ip, settings.platformPort()));
     PlatformService service = new PlatformService(network, platform, vms);
