--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -3,6 +3,10 @@
 import io.lycheejunction.bench.config.ConfigBench;
 import io.lycheejunction.bench.demo.DemoBench;
 import io.lycheejunction.bench.demo.PlanBench;
+import io.lycheejunction.bench.failover.DurabilityBench;
+import io.lycheejunction.bench.failover.FailoverBench;
+import io.lycheejunction.bench.failover.FalsePromotionsBench;
+import io.lycheejunction.bench.failover.SuspicionBench;
 import io.lycheejunction.bench.overhead.OverheadBench;
 import io.lycheejunction.common.clock.SystemRuntimeClock;
 import io.lycheejunction.common.http.HttpCaller;
@@ -21,7 +25,11 @@
           new PlanBench(HTTP),
           new DemoBench(HTTP, new SystemRuntimeClock()),
           new OverheadBench(HTTP, new SystemRuntimeClock()),
-          new ConfigBench());
+          new ConfigBench(),
+          new FailoverBench(HTTP, new SystemRuntimeClock()),
+          new DurabilityBench(HTTP, new SystemRuntimeClock()),
+          new FalsePromotionsBench(),
+          new SuspicionBench());
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
