--- a/burn/src/main/java/io/lycheejunction/burn/HtmlPage.java
+++ b/burn/src/main/java/io/lycheejunction/burn/HtmlPage.java
@@ -43,8 +43,8 @@
         .append("<p>Counts up to " + Instant.ofEpochSecond(report.endMinute() * MINUTE_S))
         .append(". " + escape(report.gapsLine()) + ".</p>")
         .append("<p>A burn of 1 spends the budget of 30 days in exactly 30 days. A pair of windows")
-        .append(
-            " alerts (!) when both are above 14.4, 6 or 1. Budgets are of the minutes that have counts.</p>");
+        .append(" alerts (!) when both are above 14.4, 6 or 1. Budgets are of the minutes that")
+        .append(" have counts.</p>");
     services(report).forEach((service, burns) -> section(page, report, service, burns));
     refusals(page, report);
     return page.append("</body></html>\n").toString();
