--- a/bench/src/main/java/io/lycheejunction/bench/failover/FaultRound.java
+++ b/bench/src/main/java/io/lycheejunction/bench/failover/FaultRound.java
@@ -36,7 +36,7 @@
 
   RoundResult run() throws InterruptedException {
     PlatformClient.Group group = cluster.createGroup(scenario.durability());
-    GroupModel model = cluster.standin.group(group.name());
+    final GroupModel model = cluster.standin.group(group.name());
     TargetSpec primary = group.targets().getFirst();
     Writers writers =
         new Writers(cluster, group.name(), callersProxies(primary), scenario.load(), seeds);
@@ -47,7 +47,7 @@
     cluster.clock.sleepMs(scenario.load().beforeMs());
     final long faultMs = cluster.clock.monotonicMs();
     strike(primary);
-    Optional<Long> resumedMs = awaitResumed(writers, group.name(), primary, faultMs);
+    final Optional<Long> resumedMs = awaitResumed(writers, group.name(), primary, faultMs);
     cluster.clock.sleepMs(AFTER_MS);
     writers.stop();
     heal(primary);
@@ -77,14 +77,13 @@
   }
 
   private void strike(TargetSpec primary) {
-    switch (scenario.fault()) {
-      case CRASH -> cluster.standin.fault(new FaultMessage.Crash(primary.name()));
-      case CUT_OFF -> {
-        for (String domain : cluster.user.domains()) {
-          if (!domain.equals(primary.failureDomain())) {
-            cluster.standin.fault(new FaultMessage.Cut(primary.failureDomain(), domain));
-          }
-        }
+    if (scenario.fault() == Scenario.Fault.CRASH) {
+      cluster.standin.fault(new FaultMessage.Crash(primary.name()));
+      return;
+    }
+    for (String domain : cluster.user.domains()) {
+      if (!domain.equals(primary.failureDomain())) {
+        cluster.standin.fault(new FaultMessage.Cut(primary.failureDomain(), domain));
       }
     }
   }
