Say that no service has counts when none has

Cause: a run against a live stand-in with requests for no known service said that the last minutes have no counts. Change: its own line. Conclusion: the headline still never says that nobody is needed without counts.

--- a/burn/src/main/java/io/lycheejunction/burn/Report.java
+++ b/burn/src/main/java/io/lycheejunction/burn/Report.java
@@ -115,7 +115,10 @@
       return "Someone is needed now: " + String.join(", ", now);
     }
     List<String> unknown = services(Status.UNKNOWN);
-    if (burns.isEmpty() || !unknown.isEmpty()) {
+    if (burns.isEmpty()) {
+      return "Not known whether anyone is needed: no service has counts";
+    }
+    if (!unknown.isEmpty()) {
       return "Not known whether anyone is needed: the last minutes have no counts";
     }
     List<String> soon = services(Status.SOON);
