Measure slopes and work out the capacity page

Cause: the target of 710 nodes had no page of sums. Change: ./bench slopes measures membership, configuration, the watcher with the holder, and idle caller connections at three sizes or more and fits lines; docs/CAPACITY.md works out each role from them.

--- a/bench/src/main/java/io/lycheejunction/bench/load/Figures.java
+++ b/bench/src/main/java/io/lycheejunction/bench/load/Figures.java
@@ -68,6 +68,16 @@
                         .collect(Collectors.joining(" "))));
   }
 
+  /**
+   * Returns the names of a variant's figures.
+   *
+   * @param variant the key=value pairs that name the variant
+   * @return the names, in the order in which they were first recorded
+   */
+  public List<String> names(String variant) {
+    return List.copyOf(values.getOrDefault(variant, Map.of()).keySet());
+  }
+
   /**
    * Returns the median of a figure.
    *
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/slopes/ConfigurationSlope.java
@@ -0,0 +1,75 @@
+package io.lycheejunction.bench.slopes;
+
+import io.lycheejunction.bench.load.Figures.Figure;
+import io.lycheejunction.bench.load.ProcessUse;
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.core.configuration.Change;
+import io.lycheejunction.core.configuration.ChangeRow;
+import io.lycheejunction.core.configuration.ServiceRules;
+import io.lycheejunction.proxy.configuration.AppliedLog;
+import io.lycheejunction.proxy.configuration.LogRow;
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Measures the configuration of several numbers of databases, without a store. */
+final class ConfigurationSlope implements Slope {
+  private static final int SLOTS = 5;
+  private static final int CONNECTIONS = 55;
+
+  @Override
+  public String name() {
+    return "role=configuration driver=databases";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(17, 170, 850, 1_700);
+  }
+
+  @Override
+  public List<Figure> measure(int size) {
+    List<LogRow> rows = rows(size);
+    int timedRows = size / 2;
+    final long heapBefore = ProcessUse.heapBytes();
+    AppliedLog applied = new AppliedLog();
+    rows.subList(0, rows.size() - timedRows).forEach(row -> offer(applied, row));
+    ProcessUse before = ProcessUse.now();
+    rows.subList(rows.size() - timedRows, rows.size()).forEach(row -> offer(applied, row));
+    final double rowCpuMicros = ProcessUse.now().cpuMicrosSince(before) / timedRows;
+    final long heapBytes = ProcessUse.heapBytes() - heapBefore;
+    long rowChars = rows.stream().mapToLong(row -> row.text().length()).sum();
+    long snapshotChars = Json.write(applied.snapshot()).length();
+    Reference.reachabilityFence(rows);
+    return List.of(
+        new Figure("heap_bytes", heapBytes),
+        new Figure("row_bytes", (double) rowChars / rows.size()),
+        new Figure("snapshot_bytes", snapshotChars),
+        new Figure("row_cpu_us", rowCpuMicros));
+  }
+
+  private static void offer(AppliedLog applied, LogRow row) {
+    AppliedLog.Offer offer = applied.offer(row);
+    if (offer != AppliedLog.Offer.APPLIED) {
+      throw new IllegalStateException("row " + row.version() + ": " + offer);
+    }
+  }
+
+  private static List<LogRow> rows(int databases) {
+    List<LogRow> rows = new ArrayList<>();
+    for (int i = 0; i < databases; i++) {
+      String name = "g" + i;
+      add(rows, new Change.CreateGroup(name, Node.targets(name, i), SLOTS, CONNECTIONS));
+      add(rows, new Change.CreateService("orders-" + name, name, ServiceRules.empty()));
+    }
+    return rows;
+  }
+
+  private static void add(List<LogRow> rows, Change change) {
+    long version = rows.size() + 1L;
+    String id = "00000000-0000-0000-0000-%012d".formatted(version);
+    rows.add(
+        new LogRow(
+            version, Json.write(new ChangeRow(ChangeRow.SCHEMA, id, version, version, change))));
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/slopes/ConnectionSlope.java
@@ -0,0 +1,48 @@
+package io.lycheejunction.bench.slopes;
+
+import io.lycheejunction.bench.load.Figures.Figure;
+import io.lycheejunction.bench.load.IdleConnections;
+import io.lycheejunction.bench.load.LocalSite;
+import io.lycheejunction.bench.load.ProcessUse;
+import io.lycheejunction.core.clock.RuntimeClock;
+import java.util.List;
+
+/** Measures the idle connections of callers of one proxy; the callers' side is included. */
+final class ConnectionSlope implements Slope {
+  private static final long REST_MS = 500;
+
+  private final LocalSite site;
+  private final RuntimeClock clock;
+
+  ConnectionSlope(LocalSite site, RuntimeClock clock) {
+    this.site = site;
+    this.clock = clock;
+  }
+
+  @Override
+  public String name() {
+    return "role=caller driver=connections";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(1_000, 3_000, 7_200);
+  }
+
+  @Override
+  public List<Figure> measure(int size) throws InterruptedException {
+    final long heapBefore = ProcessUse.heapBytes();
+    final long residentBefore = ProcessUse.residentBytes();
+    try (IdleConnections idle = IdleConnections.open(site.proxies().getFirst().address(), size)) {
+      final long heapBytes = ProcessUse.heapBytes() - heapBefore;
+      final long residentBytes = ProcessUse.residentBytes() - residentBefore;
+      ProcessUse before = ProcessUse.now();
+      clock.sleepMs(REST_MS);
+      double cores = ProcessUse.now().coresSince(before);
+      return List.of(
+          new Figure("heap_bytes", heapBytes),
+          new Figure("resident_bytes", residentBytes),
+          new Figure("cpu_us_per_s", cores * 1e6));
+    }
+  }
+}
--- /dev/null
+++ b/bench/src/main/java/io/lycheejunction/bench/slopes/MembershipSlope.java
@@ -0,0 +1,136 @@
+package io.lycheejunction.bench.slopes;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import io.lycheejunction.bench.load.Figures.Figure;
+import io.lycheejunction.bench.load.ProcessUse;
+import io.lycheejunction.common.json.Json;
+import io.lycheejunction.core.clock.RuntimeClock;
+import io.lycheejunction.core.membership.MembershipEvent;
+import io.lycheejunction.core.port.PeerTransport;
+import io.lycheejunction.core.port.Vm;
+import io.lycheejunction.core.result.Result;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.proxy.configuration.AppliedLog;
+import io.lycheejunction.proxy.configuration.ConfigurationLog;
+import io.lycheejunction.proxy.forward.PeerRoutes;
+import io.lycheejunction.proxy.membership.Heartbeats;
+import io.lycheejunction.proxy.membership.Membership;
+import java.lang.ref.Reference;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Measures heartbeats in fleets of several sizes, without sockets. */
+final class MembershipSlope implements Slope {
+  private static final int SAMPLED_NODES = 50;
+  private static final long RUN_MS = 300;
+  private static final int FAILURE_DOMAINS = 6;
+  private static final double MS_PER_SECOND = 1_000;
+
+  private final RuntimeClock clock;
+  private final NoStore store;
+
+  MembershipSlope(RuntimeClock clock, NoStore store) {
+    this.clock = clock;
+    this.store = store;
+  }
+
+  @Override
+  public String name() {
+    return "role=membership driver=peers";
+  }
+
+  @Override
+  public List<Integer> sizes() {
+    return List.of(7, 100, 710);
+  }
+
+  @Override
+  public List<Figure> measure(int size) {
+    final long heapBytes = heapBytes(size);
+    Wire wire = new Wire();
+    List<Heartbeats> fleet = fleet(size, wire);
+    int sampled = Math.min(size, SAMPLED_NODES);
+    ProcessUse before = ProcessUse.now();
+    final long untilMs = clock.monotonicMs() + RUN_MS;
+    while (clock.monotonicMs() < untilMs) {
+      fleet.subList(0, sampled).forEach(Heartbeats::round);
+    }
+    double cpuMicros = ProcessUse.now().cpuMicrosSince(before);
+    double exchanges = wire.messages() / 2.0;
+    // A node starts one exchange in an interval and answers one of another node.
+    double ownPerSecond = MS_PER_SECOND / Heartbeats.intervalMs(size);
+    return List.of(
+        new Figure("heap_bytes", heapBytes),
+        new Figure("exchange_bytes", wire.bytes() / exchanges),
+        new Figure("exchange_cpu_us", cpuMicros / exchanges),
+        new Figure("messages_per_s", 4 * ownPerSecond),
+        new Figure("bytes_per_s", 2 * ownPerSecond * wire.bytes() / exchanges),
+        new Figure("cpu_us_per_s", ownPerSecond * cpuMicros / exchanges));
+  }
+
+  private long heapBytes(int size) {
+    final long before = ProcessUse.heapBytes();
+    List<Vm> vms = vms(size);
+    Membership membership =
+        new Membership(vms.getFirst(), new AppliedLog(), clock, new Random(size));
+    membership.apply(new MembershipEvent.Listed(vms));
+    long after = ProcessUse.heapBytes();
+    Reference.reachabilityFence(membership);
+    return after - before;
+  }
+
+  private static List<Vm> vms(int size) {
+    List<Vm> vms = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      vms.add(
+          new Vm(
+              "vm-domain-%d-%d".formatted(i % FAILURE_DOMAINS, i),
+              Vm.Kind.ENTRY,
+              "domain-" + i % FAILURE_DOMAINS,
+              "10.%d.%d.%d:7101".formatted(i % FAILURE_DOMAINS, i / 250, i % 250),
+              false));
+    }
+    return vms;
+  }
+
+  private List<Heartbeats> fleet(int size, Wire wire) {
+    List<Vm> vms = vms(size);
+    Map<String, PeerRoutes> routes = new ConcurrentHashMap<>();
+    PeerTransport transport = new Loopback(routes, wire);
+    List<Heartbeats> fleet = new ArrayList<>();
+    for (int i = 0; i < size; i++) {
+      AppliedLog applied = new AppliedLog();
+      Membership membership = new Membership(vms.get(i), applied, clock, new Random(i));
+      membership.apply(new MembershipEvent.Listed(vms));
+      PeerRoutes own = new PeerRoutes();
+      ConfigurationLog log = new ConfigurationLog(store, store, applied);
+      fleet.add(new Heartbeats(membership, log, transport, own, List.of()));
+      routes.put(vms.get(i).address(), own);
+    }
+    return fleet;
+  }
+
+  /** Passes messages as text to the routes of an address. */
+  private record Loopback(Map<String, PeerRoutes> routes, Wire wire) implements PeerTransport {
+    @Override
+    public <T> Result<T> call(
+        Vm peer, String path, Object message, Class<T> replyType, long timeoutMs) {
+      String request = Json.write(message);
+      String answer = routes.get(peer.address()).handle(path, request);
+      wire.exchanged(request, answer);
+      return Json.read(answer, JsonNode.class).flatMap(node -> open(node, replyType));
+    }
+
+    private static <T> Result<T> open(JsonNode envelope, Class<T> replyType) {
+      try {
+        return Result.success(Json.MAPPER.treeToValue(envelope.get("reply"), replyType));
+      } catch (JsonProcessingException e) {
+        return Result.failure(ResultCode.UNKNOWN_OUTCOME, e.getOriginalMessage());
+      }
+    }
+  }
+}
