Measure reads that accept no age apart from those that do

Cause: a read without an age asks for the group's latest position first, so that one figure mixed the proxy's own cost with that of the read's rule. Change: ./bench overhead has both kinds, through one and two proxies.

--- a/bench/src/main/java/io/lycheejunction/bench/overhead/Ways.java
+++ b/bench/src/main/java/io/lycheejunction/bench/overhead/Ways.java
@@ -21,17 +21,22 @@
 import java.util.stream.Stream;
 
 /**
- * The ways of a statement to its target.
+ * The ways of a read to its target.
  *
  * @param holder the proxy that holds the target
  * @param direct the way without a proxy
- * @param one the way through the holder
- * @param two the way through another proxy and the holder
+ * @param one the way through the holder, of a read that accepts an age
+ * @param two the way through another proxy and the holder, of a read that accepts an age
+ * @param oneLatest the way through the holder, of a read that accepts no age
+ * @param twoLatest the way through another proxy and the holder, of a read that accepts no age
  */
-record Ways(LocalSite.Proxy holder, Way direct, Way one, Way two) {
+record Ways(LocalSite.Proxy holder, Way direct, Way one, Way two, Way oneLatest, Way twoLatest) {
   static final String DIRECT = "way=direct";
   static final String ONE = "way=one";
   static final String TWO = "way=two";
+  static final String ONE_LATEST = "way=one-latest";
+  static final String TWO_LATEST = "way=two-latest";
+  private static final long MAX_AGE_MS = 2_000;
   private static final String SERVICE = GroupCommands.SERVICE_PREFIX + "g1";
   private static final String WRITE = "put orders k1 {\"bottles\":1}";
   private static final String READ = "get orders k1";
@@ -92,11 +97,16 @@
   }
 
   /** Statements through a proxy. */
-  private record Proxied(String name, CallerClient client, String proxy, Optional<String> token)
+  private record Proxied(
+      String name,
+      CallerClient client,
+      String proxy,
+      Optional<String> token,
+      Optional<Long> maxAgeMs)
       implements Way {
     @Override
     public List<LoadRun.Step> workers(int count) {
-      Statement read = Statement.read(SERVICE, READ, token, Optional.empty(), TIMEOUT_MS);
+      Statement read = Statement.read(SERVICE, READ, token, maxAgeMs, TIMEOUT_MS);
       return Stream.<LoadRun.Step>generate(() -> () -> isDone(client.send(proxy, read)))
           .limit(count)
           .toList();
@@ -111,11 +121,14 @@
     boolean isFirst = site.metric(first, OPENED) > site.metric(second, OPENED);
     LocalSite.Proxy holder = isFirst ? first : second;
     LocalSite.Proxy entry = isFirst ? second : first;
+    Optional<Long> aged = Optional.of(MAX_AGE_MS);
     return new Ways(
         holder,
         new Direct(http, site.groups().getFirst().targets().getFirst()),
-        new Proxied(ONE, client, holder.address(), token),
-        new Proxied(TWO, client, entry.address(), token));
+        new Proxied(ONE, client, holder.address(), token, aged),
+        new Proxied(TWO, client, entry.address(), token, aged),
+        new Proxied(ONE_LATEST, client, holder.address(), token, Optional.empty()),
+        new Proxied(TWO_LATEST, client, entry.address(), token, Optional.empty()));
   }
 
   private static Optional<String> write(CallerClient client, String proxy)
@@ -142,6 +155,6 @@
   }
 
   List<Way> all() {
-    return List.of(direct, one, two);
+    return List.of(direct, one, two, oneLatest, twoLatest);
   }
 }
