--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -8,6 +8,7 @@
 import io.lycheejunction.bench.failover.FalsePromotionsBench;
 import io.lycheejunction.bench.failover.SuspicionBench;
 import io.lycheejunction.bench.overhead.OverheadBench;
+import io.lycheejunction.bench.slopes.SlopesBench;
 import io.lycheejunction.common.clock.SystemRuntimeClock;
 import io.lycheejunction.common.http.HttpCaller;
 import io.lycheejunction.common.settings.Program;
@@ -29,7 +30,8 @@
           new FailoverBench(HTTP, new SystemRuntimeClock()),
           new DurabilityBench(HTTP, new SystemRuntimeClock()),
           new FalsePromotionsBench(),
-          new SuspicionBench());
+          new SuspicionBench(),
+          new SlopesBench(HTTP, new SystemRuntimeClock()));
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
