Let a shutdown wait for open transactions

Cause: Shutdown asks its parts to wait in steps of 500 ms, and PooledHolders.awaitIdle rolls back what is open when its time is over. So a transaction that was open for more than 500 ms at a graceful shutdown was cut off; the operator's answer, which asks with a time of 0, cut it off at once. The fault matrix showed it once its shutdown ran through the class Shutdown.

Change: waiting and closing are apart. HolderWork, now public in the holder package, waits without cutting anything off and closes the pools when all has ended; what is left at the bound of 60 s ends with the process. The contract of awaitIdle and its tests are as before. The matrix drains by HolderWork, and its transaction goes on one second after the shutdown has begun.

Conclusion: a graceful shutdown finishes the transactions that are open.

--- a/proxy/src/main/java/io/lycheejunction/proxy/DrainOrder.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/DrainOrder.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.proxy.caller.InFlight;
+import io.lycheejunction.proxy.holder.HolderWork;
 import io.lycheejunction.proxy.holder.PooledHolders;
 import io.lycheejunction.proxy.supervisor.Drainable;
 import java.util.List;
@@ -81,21 +82,4 @@
       return size == 0 ? "" : size + " requests of callers";
     }
   }
-
-  private record HolderWork(PooledHolders holders) implements Drainable {
-    @Override
-    public void drain() {
-      holders.drain();
-    }
-
-    @Override
-    public boolean awaitIdle(long timeoutMs) {
-      return holders.awaitIdle(timeoutMs);
-    }
-
-    @Override
-    public String waitingFor() {
-      return holders.awaitIdle(0) ? "" : "statements and transactions on held targets";
-    }
-  }
 }
--- /dev/null
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/HolderWork.java
@@ -0,0 +1,31 @@
+package io.lycheejunction.proxy.holder;
+
+import io.lycheejunction.proxy.supervisor.Drainable;
+import java.util.Objects;
+
+/**
+ * The work on held targets, which ends before the proxy stops.
+ *
+ * @param holders the holders
+ */
+public record HolderWork(PooledHolders holders) implements Drainable {
+  /** Rejects null components. */
+  public HolderWork {
+    Objects.requireNonNull(holders, "holders is null");
+  }
+
+  @Override
+  public void drain() {
+    holders.drain();
+  }
+
+  @Override
+  public boolean awaitIdle(long timeoutMs) {
+    return holders.awaitEnd(timeoutMs) && holders.awaitIdle(0);
+  }
+
+  @Override
+  public String waitingFor() {
+    return holders.isIdle() ? "" : "statements and transactions on held targets";
+  }
+}
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/PooledHolders.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/PooledHolders.java
@@ -167,6 +167,19 @@
    * @return true if nothing was cut off
    */
   public boolean awaitIdle(long timeoutMs) {
+    boolean idle = awaitEnd(timeoutMs);
+    local.transactions().abandonAll();
+    local.targets().retireAll(SHUTTING_DOWN);
+    return idle;
+  }
+
+  /**
+   * Returns whether all requests and transactions ended before the deadline; cuts nothing off.
+   *
+   * @param timeoutMs the time to wait, in milliseconds
+   * @return true if none is left
+   */
+  public boolean awaitEnd(long timeoutMs) {
     Deadline deadline = deadline(timeoutMs);
     while (!isIdle() && !deadline.isPassed()) {
       local.transactions().expire();
@@ -174,13 +187,15 @@
         break;
       }
     }
-    boolean idle = isIdle();
-    local.transactions().abandonAll();
-    local.targets().retireAll(SHUTTING_DOWN);
-    return idle;
+    return isIdle();
   }
 
-  private boolean isIdle() {
+  /**
+   * Returns whether no request and no transaction is left; cuts nothing off.
+   *
+   * @return true if none is left
+   */
+  public boolean isIdle() {
     return inFlight.get() == 0 && local.transactions().count() == 0;
   }
 
--- a/proxy/src/test/java/io/lycheejunction/proxy/matrix/Node.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/matrix/Node.java
@@ -13,6 +13,7 @@
 import io.lycheejunction.proxy.group.Fanout;
 import io.lycheejunction.proxy.group.Groups;
 import io.lycheejunction.proxy.holder.HolderSettings;
+import io.lycheejunction.proxy.holder.HolderWork;
 import io.lycheejunction.proxy.holder.PooledHolders;
 import io.lycheejunction.proxy.operator.Control;
 import io.lycheejunction.proxy.operator.ControlTicks;
@@ -194,14 +195,8 @@
     return control.configuration().current().version();
   }
 
-  /** Announces the proxy's leaving and refuses new work; what is open may end. */
-  void beginShutdown() {
-    ControlTicks.announceLeaving(control);
-    holders.drain();
-  }
-
-  /** Returns whether all work has ended, and ends what is left after the time. */
-  boolean awaitIdle(long timeoutMs) {
-    return holders.awaitIdle(timeoutMs);
+  /** Shuts the proxy down, as an operator's order does, until its work is finished. */
+  void shutDown() {
+    ControlTicks.run(control.shutdown(List.of(new HolderWork(holders))));
   }
 }
--- a/proxy/src/test/java/io/lycheejunction/proxy/matrix/Scenario.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/matrix/Scenario.java
@@ -151,22 +151,26 @@
     fleet.run(300);
   }
 
+  /** The holder of the primary shuts down; an open transaction goes on after a second. */
   private static void shutdown(Fleet fleet) {
     Caller first = new Caller(fleet, "c1");
     Caller.Transaction open = first.begin("b").statement("b");
-    fleet.node("a").ask(() -> begin(fleet));
-    new Caller(fleet, "c2").write("c");
-    boolean isDone = open.statement("b").commit("b", true);
-    fleet.history.check(isDone || fleet.steps.hasStrikes(), "a shutdown cut off a transaction");
-    fleet.node("a").ask(() -> fleet.node("a").awaitIdle(1_000));
+    fleet.clock.afterMs(200, () -> new Caller(fleet, "c2").write("c"));
+    fleet.clock.afterMs(1_000, () -> finish(fleet, open));
+    Node leaving = fleet.node("a");
+    leaving.ask(
+        () -> {
+          leaving.shutDown();
+          return true;
+        });
     fleet.replace("a");
     new Caller(fleet, "c3").keyed(List.of("b"));
     first.read("c", null);
   }
 
-  private static boolean begin(Fleet fleet) {
-    fleet.node("a").beginShutdown();
-    return true;
+  private static void finish(Fleet fleet, Caller.Transaction open) {
+    boolean isDone = open.statement("b").commit("b", true);
+    fleet.history.check(isDone || fleet.steps.hasStrikes(), "a shutdown cut off a transaction");
   }
 
   private static void membershipChange(Fleet fleet) {
--- a/proxy/src/test/java/io/lycheejunction/proxy/operator/ControlTicks.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/operator/ControlTicks.java
@@ -14,8 +14,8 @@
     control.list().poll();
   }
 
-  /** Announces that the proxy is leaving. */
-  public static void announceLeaving(Control control) {
-    control.heartbeats().announceLeaving();
+  /** Announces, drains and waits until all work is finished or the bound is reached. */
+  public static void run(Shutdown shutdown) {
+    shutdown.run();
   }
 }
