--- a/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/ProxyTree.java
@@ -200,12 +200,12 @@
     children.add(groups.child());
     children.add(periodic("holder", REBALANCE_INTERVAL_MS, holders::rebalance));
     children.add(periodic("settler", SETTLE_INTERVAL_MS, coordinator.settler()::settle));
+    children.add(periodic("burn", BurnFold.INTERVAL_MS, burn::fold));
+    children.add(periodic("burn-rollup", Rollup.INTERVAL_MS, rollup()::tick));
     settings
         .access()
         .trust()
         .ifPresent(t -> children.add(periodic("certificates", RELOAD_INTERVAL_MS, t::reload)));
-    children.add(periodic("burn", BurnFold.INTERVAL_MS, burn::fold));
-    children.add(periodic("burn-rollup", Rollup.INTERVAL_MS, rollup()::tick));
     children.add(server(tokens));
     return children;
   }
