Offer writes at multiples of a primary's capacity, and through a cut

Cause: nothing told what callers get under overload and after a cut heals. Change: ./bench overload measures the capacity of a primary, offers 1, 3 and 10 times that much, then cuts the primary's failure domain off and heals the cut; goodput, refusals by code and the time to refuse. Retries after healing are not counted yet. By reading, not yet by a test: a session whose open or close is not answered in time stays open at the instance for good, since nothing asks again and the instance ends no idle session; its limit is then used up.

--- a/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/bench/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.bench.demo.DemoBench;
 import io.lycheejunction.bench.demo.PlanBench;
 import io.lycheejunction.bench.overhead.OverheadBench;
+import io.lycheejunction.bench.overload.OverloadBench;
 import io.lycheejunction.bench.slopes.SlopesBench;
 import io.lycheejunction.common.clock.SystemRuntimeClock;
 import io.lycheejunction.common.http.HttpCaller;
@@ -21,7 +22,8 @@
           new PlanBench(HTTP),
           new DemoBench(HTTP, new SystemRuntimeClock()),
           new OverheadBench(HTTP, new SystemRuntimeClock()),
-          new SlopesBench(HTTP, new SystemRuntimeClock()));
+          new SlopesBench(HTTP, new SystemRuntimeClock()),
+          new OverloadBench(HTTP, new SystemRuntimeClock()));
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
 
