Let the stand-in close abandoned sessions at its limit

A database ends such a session with its client's connection; the stand-in's sessions outlive connections. Change: at the limit, a session unused for 10 s is closed.

--- a/standin/src/main/java/io/lycheejunction/standin/model/GroupModel.java
+++ b/standin/src/main/java/io/lycheejunction/standin/model/GroupModel.java
@@ -22,6 +22,9 @@
  * restarted instance keeps its log, its term and its role. Safe for use by several threads.
  */
 public final class GroupModel {
+  /** The time without a request after which a session may be closed, in milliseconds. */
+  public static final long SESSION_IDLE_LIMIT_MS = 10_000;
+
   private static final long FIRST_TERM = 1;
   private static final long POLL_MS = 1;
 
@@ -268,6 +271,9 @@
   /**
    * Returns a new session on an instance, after the time to set it up.
    *
+   * <p>At the limit, a session that was not used for {@link #SESSION_IDLE_LIMIT_MS} is closed to
+   * make room, since its client may be gone.
+   *
    * @param target the name of the instance
    * @return the session, or {@code NO_CONNECTION} when the limit is reached
    * @throws InterruptedException if the thread is interrupted
@@ -276,7 +282,7 @@
     ModelSession session;
     synchronized (lock) {
       Instance instance = settled(target);
-      if (instance.sessions.size() >= limits.connections()) {
+      if (instance.sessions.size() >= limits.connections() && !reclaim(instance)) {
         return Result.failure(ResultCode.NO_CONNECTION, target + " has no connection left");
       }
       session = new ModelSession(this, instance);
@@ -288,6 +294,15 @@
     return Result.success(session);
   }
 
+  private boolean reclaim(Instance instance) {
+    Optional<ModelSession> abandoned =
+        instance.sessions.stream()
+            .filter(session -> session.isIdleFor(SESSION_IDLE_LIMIT_MS))
+            .findFirst();
+    abandoned.ifPresent(ModelSession::close);
+    return abandoned.isPresent();
+  }
+
   /**
    * Returns the faults of the group's instances, for tests to set.
    *
--- a/standin/src/main/java/io/lycheejunction/standin/model/ModelSession.java
+++ b/standin/src/main/java/io/lycheejunction/standin/model/ModelSession.java
@@ -27,10 +27,29 @@
   private final GroupModel group;
   private final Instance instance;
   private Transaction open;
+  private int running;
+  private long usedMs;
 
   ModelSession(GroupModel group, Instance instance) {
     this.group = group;
     this.instance = instance;
+    this.usedMs = group.clock.monotonicMs();
+  }
+
+  /**
+   * Returns whether the session was not used for a time.
+   *
+   * @param durationMs the time, in milliseconds
+   * @return false while a statement runs on it
+   */
+  boolean isIdleFor(long durationMs) {
+    synchronized (group.lock) {
+      return running == 0 && group.clock.monotonicMs() - usedMs >= durationMs;
+    }
+  }
+
+  private void used() {
+    usedMs = group.clock.monotonicMs();
   }
 
   /**
@@ -72,6 +91,7 @@
         return Optional.of(notRun(ResultCode.QUEUE_FULL, "no slot is free"));
       }
       instance.running++;
+      running++;
       return Optional.empty();
     }
   }
@@ -79,6 +99,8 @@
   private void releaseSlot() {
     synchronized (group.lock) {
       instance.running--;
+      running--;
+      used();
     }
   }
 
@@ -172,6 +194,7 @@
         return notPrimary(term);
       }
       open = new Transaction(term);
+      used();
       return done();
     }
   }
--- a/standin/src/test/java/io/lycheejunction/standin/model/GroupModelTest.java
+++ b/standin/src/test/java/io/lycheejunction/standin/model/GroupModelTest.java
@@ -281,4 +281,29 @@
       assertFalse(small.open("a").isEmpty());
     }
   }
+
+  @Nested
+  class OpenAtLimit {
+    private final GroupModel narrow =
+        new GroupModel("n", TARGETS, new ModelLimits(2, 1, 0, 0), links, clock);
+
+    @Test
+    void shouldCloseAbandonedSessionWhenLimitIsReached() throws InterruptedException {
+      final ModelSession abandoned = narrow.open("a").fold(f -> null, s -> s);
+      assertEquals(ResultCode.NO_CONNECTION, code(narrow.open("a")));
+      clock.advanceMs(GroupModel.SESSION_IDLE_LIMIT_MS);
+      assertFalse(narrow.open("a").isEmpty());
+      assertFalse(abandoned.isOpen());
+    }
+
+    @Test
+    void shouldKeepSessionWhenItWasUsed() throws InterruptedException {
+      ModelSession used = narrow.open("a").fold(f -> null, s -> s);
+      clock.advanceMs(GroupModel.SESSION_IDLE_LIMIT_MS - 1);
+      answered(used.execute(read("get orders k")));
+      clock.advanceMs(1);
+      assertEquals(ResultCode.NO_CONNECTION, code(narrow.open("a")));
+      assertTrue(used.isOpen());
+    }
+  }
 }
