--- a/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
+++ b/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
@@ -31,6 +31,10 @@
   UNKNOWN_TRANSACTION(1110, Outcome.REFUSED_NOT_RUN, 404),
   /** The idempotency key is recorded for another statement. */
   KEY_REUSED(1111, Outcome.REFUSED_NOT_RUN, 409),
+  /** The session has no prepared statement of this name. */
+  UNKNOWN_PREPARED(1112, Outcome.REFUSED_NOT_RUN, 404),
+  /** The transaction has failed: only its end is accepted. */
+  TRANSACTION_FAILED(1113, Outcome.REFUSED_NOT_RUN, 409),
 
   /** The queue of the target is full. */
   QUEUE_FULL(1201, Outcome.REFUSED_NOT_RUN, 503),
@@ -44,6 +48,10 @@
   NO_CONNECTION(1205, Outcome.REFUSED_NOT_RUN, 503),
   /** The circuit breaker of the target is open. */
   CIRCUIT_OPEN(1206, Outcome.REFUSED_NOT_RUN, 503),
+  /** The target has no room for one more statement. */
+  TARGET_BUSY(1207, Outcome.REFUSED_NOT_RUN, 503),
+  /** The target has no room for one more connection. */
+  TARGET_CONNECTIONS_FULL(1208, Outcome.REFUSED_NOT_RUN, 503),
 
   /** No primary of the group is known. */
   NO_PRIMARY(1301, Outcome.REFUSED_NOT_RUN, 503),
@@ -61,6 +69,8 @@
   PEER_UNREACHABLE(1307, Outcome.REFUSED_NOT_RUN, 503),
   /** Another claimant holds the term. */
   TERM_TAKEN(1308, Outcome.REFUSED_NOT_RUN, 409),
+  /** Another target than the expected one listens at the address. */
+  WRONG_TARGET(1309, Outcome.REFUSED_NOT_RUN, 503),
 
   /** No allowed target has applied the position that the session requires. */
   NOT_FRESH(1401, Outcome.REFUSED_NOT_RUN, 503),
@@ -75,6 +85,10 @@
   KEY_NOT_FOUND(1503, Outcome.OUTCOME_UNKNOWN, 404),
   /** The transaction was rolled back. */
   ROLLED_BACK(1504, Outcome.REFUSED_NOT_RUN, 409),
+  /** The target ran the statement and reported a failure. */
+  STATEMENT_FAILED(1505, Outcome.OUTCOME_UNKNOWN, 500),
+  /** The statement ran into its time limit. */
+  STATEMENT_TIMEOUT(1506, Outcome.OUTCOME_UNKNOWN, 504),
 
   /** The configuration is at another version than the command requires. */
   VERSION_CONFLICT(1601, Outcome.REFUSED_NOT_RUN, 409),
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/statement/SessionState.java
@@ -0,0 +1,85 @@
+package io.lycheejunction.core.statement;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+
+/**
+ * What a session has set up: its values and its prepared statements; immutable.
+ *
+ * @param values the values by name
+ * @param prepared the prepared statements by name
+ */
+public record SessionState(Map<String, String> values, Map<String, PreparedShape> prepared) {
+  private static final SessionState EMPTY = new SessionState(Map.of(), Map.of());
+
+  /** Rejects null components and copies the maps. */
+  public SessionState {
+    values = Map.copyOf(Objects.requireNonNull(values, "values is null"));
+    prepared = Map.copyOf(Objects.requireNonNull(prepared, "prepared is null"));
+  }
+
+  /**
+   * Returns the state of a session that has set up nothing.
+   *
+   * @return the empty state
+   */
+  public static SessionState empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Returns the state after a value was set.
+   *
+   * @param name the name of the value
+   * @param value the new value
+   * @return the new state
+   */
+  public SessionState withValue(String name, String value) {
+    if (value.equals(values.get(name))) {
+      return this;
+    }
+    Map<String, String> changed = new HashMap<>(values);
+    changed.put(name, value);
+    return new SessionState(changed, prepared);
+  }
+
+  /**
+   * Returns the state after a statement was prepared.
+   *
+   * @param name the name of the prepared statement
+   * @param shape what it does
+   * @return the new state
+   */
+  public SessionState withPrepared(String name, PreparedShape shape) {
+    Map<String, PreparedShape> changed = new HashMap<>(prepared);
+    changed.put(name, shape);
+    return new SessionState(values, changed);
+  }
+
+  /**
+   * Returns the state after a prepared statement was forgotten.
+   *
+   * @param name the name of the prepared statement
+   * @return the new state; the same if the name is unknown
+   */
+  public SessionState withoutPrepared(String name) {
+    if (!prepared.containsKey(name)) {
+      return this;
+    }
+    Map<String, PreparedShape> changed = new HashMap<>(prepared);
+    changed.remove(name);
+    return new SessionState(values, changed);
+  }
+
+  /**
+   * Returns what a prepared statement does.
+   *
+   * @param name the name of the prepared statement
+   * @return its shape, or empty if the session has not prepared it
+   */
+  public Optional<PreparedShape> shapeOf(String name) {
+    return Optional.ofNullable(prepared.get(name));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/io/lycheejunction/core/statement/package-info.java
@@ -0,0 +1,2 @@
+/** The statements that sessions send, and the state that a session keeps between them. */
+package io.lycheejunction.core.statement;
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -0,0 +1,63 @@
+package io.lycheejunction.gateway.dispatch;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.schedule.Scheduler;
+import io.lycheejunction.gateway.target.TargetHandle;
+import io.lycheejunction.gateway.target.Targets;
+import java.util.Objects;
+
+/**
+ * What the running of statements shares.
+ *
+ * @param scheduler the gateway's clock
+ * @param targets the targets
+ * @param positions the proven positions
+ * @param placement chooses targets of reads
+ * @param journal writes down decisions
+ */
+public record Dispatch(
+    Scheduler scheduler,
+    Targets targets,
+    Positions positions,
+    Placement placement,
+    StatementJournal journal) {
+  /** How often a statement that has not run is tried. */
+  static final int MAX_TRIES = 4;
+
+  /** The hint of a refusal while a group has no primary, in milliseconds. */
+  public static final long NO_PRIMARY_RETRY_MS = 300;
+
+  /** The hint of a refusal for lack of room, in milliseconds. */
+  static final long BUSY_RETRY_MS = 60;
+
+  /** Rejects null components. */
+  public Dispatch {
+    Objects.requireNonNull(scheduler, "scheduler is null");
+    Objects.requireNonNull(targets, "targets is null");
+    Objects.requireNonNull(positions, "positions is null");
+    Objects.requireNonNull(placement, "placement is null");
+    Objects.requireNonNull(journal, "journal is null");
+  }
+
+  /**
+   * Records what a target's refusal says about it.
+   *
+   * @param handle the target
+   * @param fault the refusal
+   */
+  void noteFault(TargetHandle handle, Fault fault) {
+    handle.failed(fault, scheduler.nowMs());
+  }
+
+  /**
+   * Returns the refusal of a statement that finds no primary.
+   *
+   * @param service the service
+   * @return the fault
+   */
+  static Fault noPrimary(String service) {
+    return new Fault(
+        ResultCode.NO_PRIMARY, "no primary of " + service + " is known", NO_PRIMARY_RETRY_MS);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
@@ -0,0 +1,112 @@
+package io.lycheejunction.gateway.dispatch;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.schedule.Scheduler;
+import java.util.Optional;
+
+/**
+ * Writes one line for each decided statement, within a budget.
+ *
+ * <p>Refusals and unknown outcomes go before successes: each has a budget of its own, and what is
+ * beyond it is counted and reported with the next line of its kind.
+ */
+public final class StatementJournal {
+  private static final EventLog LOG = EventLog.of(StatementJournal.class);
+
+  /** The lines of each kind in a window. */
+  static final int LINES_PER_WINDOW = 100;
+
+  private static final long WINDOW_MS = 1_000;
+
+  /** How a statement ended, and on what that rested. */
+  public record Entry(
+      Work work, String target, String floor, int tries, long tookMs, Optional<Fault> fault) {}
+
+  private final Scheduler scheduler;
+  private final Budget successes = new Budget();
+  private final Budget faults = new Budget();
+  private long configurationVersion;
+
+  /**
+   * Creates a journal.
+   *
+   * @param scheduler the gateway's clock
+   */
+  public StatementJournal(Scheduler scheduler) {
+    this.scheduler = scheduler;
+  }
+
+  /**
+   * Sets the version of the configuration that decisions rest on from now on.
+   *
+   * @param version the version
+   */
+  public void configuration(long version) {
+    configurationVersion = version;
+  }
+
+  /**
+   * Writes a line.
+   *
+   * @param entry what was decided
+   */
+  public void write(Entry entry) {
+    Budget budget = entry.fault().isPresent() ? faults : successes;
+    long dropped = budget.take(scheduler.nowMs());
+    if (dropped < 0) {
+      return;
+    }
+    LOG.info(
+        "statement",
+        "id",
+        entry.work().requestId(),
+        "database",
+        entry.work().route().database(),
+        "service",
+        entry.work().route().service(),
+        "writes",
+        entry.work().writes(),
+        "target",
+        entry.target(),
+        "floor",
+        entry.floor(),
+        "configuration",
+        configurationVersion,
+        "tries",
+        entry.tries(),
+        "took_ms",
+        entry.tookMs(),
+        "code",
+        entry.fault().map(Fault::code).orElse(ResultCode.DONE),
+        "detail",
+        entry.fault().map(Fault::detail).orElse("-"),
+        "retry_after_ms",
+        entry.fault().map(Fault::retryAfterMs).orElse(0L),
+        "dropped_lines",
+        dropped);
+  }
+
+  private static final class Budget {
+    private long windowStartMs = Long.MIN_VALUE;
+    private int used;
+    private long dropped;
+
+    /** Returns the lines dropped since the last one, or -1 if this one is dropped too. */
+    private long take(long nowMs) {
+      if (windowStartMs == Long.MIN_VALUE || nowMs - windowStartMs >= WINDOW_MS) {
+        windowStartMs = nowMs;
+        used = 0;
+      }
+      if (used >= LINES_PER_WINDOW) {
+        dropped++;
+        return -1;
+      }
+      used++;
+      long before = dropped;
+      dropped = 0;
+      return before;
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/package-info.java
@@ -0,0 +1,2 @@
+/** The ports through which the gateway speaks to callers and targets. */
+package io.lycheejunction.gateway.link;
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/package-info.java
@@ -0,0 +1,2 @@
+/** The connections to a target and what each of them has been set up with. */
+package io.lycheejunction.gateway.pool;
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
@@ -0,0 +1,54 @@
+package io.lycheejunction.gateway.route;
+
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * One version of the configuration.
+ *
+ * @param version the version; a higher one replaces a lower one
+ * @param routes the routes by database
+ * @param services the limits by service
+ * @param idleTransactionMs the time after which an idle transaction may be ended, in milliseconds
+ */
+public record RouteTable(
+    long version,
+    Map<String, Route> routes,
+    Map<String, ServiceLimits> services,
+    long idleTransactionMs) {
+  private static final RouteTable EMPTY = new RouteTable(-1, Map.of(), Map.of(), 0);
+
+  /** Copies the maps. */
+  public RouteTable {
+    routes = Map.copyOf(routes);
+    services = Map.copyOf(services);
+  }
+
+  /**
+   * Returns the table before any configuration is known.
+   *
+   * @return the empty table
+   */
+  public static RouteTable empty() {
+    return EMPTY;
+  }
+
+  /**
+   * Returns whether no configuration is known yet.
+   *
+   * @return true if so
+   */
+  public boolean isEmpty() {
+    return version < 0;
+  }
+
+  /**
+   * Returns the route of a database.
+   *
+   * @param database the name that the caller asked for
+   * @return the route, or empty if there is none
+   */
+  public Optional<Route> routeOf(String database) {
+    return Optional.ofNullable(routes.get(database));
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -0,0 +1,359 @@
+package io.lycheejunction.gateway.session;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.statement.PreparedShape;
+import io.lycheejunction.core.statement.SessionState;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.dispatch.Completion;
+import io.lycheejunction.gateway.dispatch.SingleStatement;
+import io.lycheejunction.gateway.dispatch.Transaction;
+import io.lycheejunction.gateway.dispatch.Work;
+import io.lycheejunction.gateway.link.CallerLink;
+import io.lycheejunction.gateway.link.LinkReply;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.schedule.Scheduler;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Optional;
+
+/** One caller's session: its values, its prepared statements and its transaction. */
+public final class CallerSession {
+  /** The statements that may wait behind the one that runs. */
+  static final int MAX_QUEUED = 64;
+
+  private record Query(String requestId, CallerStatement statement) {}
+
+  private final Gateway gateway;
+  private final CallerLink link;
+  private final String database;
+  private final Deque<Query> queued = new ArrayDeque<>();
+  private SessionState state = SessionState.empty();
+  private LogPosition lastCommit = LogPosition.ORIGIN;
+  private Transaction transaction;
+  private SingleStatement running;
+  private Scheduler.Timer idleTimer;
+  private boolean busy;
+  private boolean closed;
+  private boolean expired;
+
+  CallerSession(Gateway gateway, CallerLink link, String database) {
+    this.gateway = gateway;
+    this.link = link;
+    this.database = database;
+  }
+
+  /**
+   * Handles a statement; statements are answered in order.
+   *
+   * @param requestId the caller's identifier
+   * @param statement the statement
+   */
+  public void query(String requestId, CallerStatement statement) {
+    if (closed) {
+      return;
+    }
+    if (busy || !queued.isEmpty()) {
+      if (queued.size() >= MAX_QUEUED) {
+        close();
+        return;
+      }
+      queued.addLast(new Query(requestId, statement));
+      return;
+    }
+    handle(new Query(requestId, statement));
+  }
+
+  /** Ends the session, since its caller has gone; what is open is rolled back. */
+  public void ended() {
+    if (closed) {
+      return;
+    }
+    closed = true;
+    gateway.forget(this);
+    stopIdleTimer();
+    queued.clear();
+    if (running != null) {
+      running.cancel();
+    }
+    if (transaction != null) {
+      transaction.rollBack();
+    }
+  }
+
+  /**
+   * Returns whether the session can be closed without harm: nothing runs and no transaction is
+   * open.
+   *
+   * @return true if so
+   */
+  boolean isAtRest() {
+    return !busy && transaction == null && queued.isEmpty();
+  }
+
+  /** Closes the session's connection, after what was answered. */
+  void close() {
+    ended();
+    link.close();
+  }
+
+  /** Fails the open transaction, unless a statement of it runs. */
+  void expireTransaction() {
+    if (transaction != null && !busy) {
+      expired = true;
+      transaction.expire();
+    }
+  }
+
+  private void handle(Query query) {
+    busy = true;
+    stopIdleTimer();
+    if (transaction != null) {
+      handleInTransaction(query);
+    } else {
+      handleOutside(query);
+    }
+  }
+
+  private void handleOutside(Query query) {
+    switch (query.statement()) {
+      case CallerStatement.Begin begin -> begin(begin);
+      case CallerStatement.Read read -> runSingle(query, Optional.empty());
+      case CallerStatement.Write write -> runSingle(query, Optional.empty());
+      case CallerStatement.Execute execute -> runPreparedSingle(query, execute);
+      case CallerStatement.Commit commit -> refuse(notInTransaction());
+      case CallerStatement.Rollback rollback -> refuse(notInTransaction());
+      default -> handleLocally(query.statement());
+    }
+  }
+
+  private void handleInTransaction(Query query) {
+    CallerStatement statement = query.statement();
+    if (statement instanceof CallerStatement.Rollback) {
+      endTransaction();
+      answer();
+      return;
+    }
+    if (transaction.isFailed()) {
+      handleInFailed(statement);
+      return;
+    }
+    switch (statement) {
+      case CallerStatement.Read read -> runInTransaction(query, Optional.empty());
+      case CallerStatement.Write write -> runInTransaction(query, Optional.empty());
+      case CallerStatement.Commit commit -> runInTransaction(query, Optional.empty());
+      case CallerStatement.Execute execute -> runPreparedInTransaction(query, execute);
+      case CallerStatement.Begin begin ->
+          refuse(Fault.of(ResultCode.BAD_STATEMENT, "a transaction is open already"));
+      default -> handleLocally(statement);
+    }
+  }
+
+  private void handleInFailed(CallerStatement statement) {
+    boolean first = expired;
+    expired = false;
+    if (statement instanceof CallerStatement.Commit) {
+      endTransaction();
+      refuse(Fault.of(ResultCode.ROLLED_BACK, "the transaction had failed"));
+      return;
+    }
+    refuse(
+        first
+            ? Fault.of(ResultCode.ROLLED_BACK, "the transaction was idle for too long")
+            : Fault.of(ResultCode.TRANSACTION_FAILED, "the transaction has failed"));
+  }
+
+  private void handleLocally(CallerStatement statement) {
+    switch (statement) {
+      case CallerStatement.SetValue set -> {
+        state = state.withValue(set.name(), set.value());
+        answer();
+      }
+      case CallerStatement.Prepare prepare -> {
+        state = state.withPrepared(prepare.name(), prepare.shape());
+        answer();
+      }
+      case CallerStatement.Deallocate deallocate -> deallocate(deallocate.name());
+      case CallerStatement.Invalid invalid ->
+          refuse(Fault.of(ResultCode.BAD_STATEMENT, invalid.reason()));
+      default -> refuse(Fault.of(ResultCode.BAD_STATEMENT, "not expected here"));
+    }
+  }
+
+  private void deallocate(String name) {
+    if (state.shapeOf(name).isEmpty()) {
+      refuse(unknownPrepared(name));
+      return;
+    }
+    state = state.withoutPrepared(name);
+    answer();
+  }
+
+  private void begin(CallerStatement.Begin begin) {
+    Optional<Route> route = gateway.route(database);
+    if (route.isEmpty()) {
+      refuse(Gateway.unknownDatabase(database));
+      return;
+    }
+    transaction = new Transaction(gateway.dispatch(), route.get(), begin.readOnly());
+    answer();
+  }
+
+  private void runPreparedSingle(Query query, CallerStatement.Execute execute) {
+    Optional<PreparedShape> shape = state.shapeOf(execute.name());
+    if (shape.isEmpty()) {
+      refuse(unknownPrepared(execute.name()));
+      return;
+    }
+    runSingle(query, shape);
+  }
+
+  private void runSingle(Query query, Optional<PreparedShape> shape) {
+    Optional<Route> route = gateway.route(database);
+    if (route.isEmpty()) {
+      refuse(Gateway.unknownDatabase(database));
+      return;
+    }
+    Work work =
+        new Work(query.requestId(), route.get(), state, lastCommit, query.statement(), shape);
+    running = new SingleStatement(gateway.dispatch(), work, new SingleCompletion(work));
+    running.start();
+  }
+
+  private void runPreparedInTransaction(Query query, CallerStatement.Execute execute) {
+    Optional<PreparedShape> shape = state.shapeOf(execute.name());
+    if (shape.isEmpty()) {
+      refuse(unknownPrepared(execute.name()));
+      return;
+    }
+    runInTransaction(query, shape);
+  }
+
+  private void runInTransaction(Query query, Optional<PreparedShape> shape) {
+    Work work =
+        new Work(
+            query.requestId(), transaction.route(), state, lastCommit, query.statement(), shape);
+    transaction.run(work, new TransactionCompletion(work));
+  }
+
+  private void endTransaction() {
+    Transaction ended = transaction;
+    transaction = null;
+    ended.rollBack();
+  }
+
+  private void answer() {
+    link.answer(List.of(), Optional.empty(), transactionState(), Optional.empty());
+    next();
+  }
+
+  private void refuse(Fault fault) {
+    link.refuse(fault, transactionState());
+    next();
+  }
+
+  private TransactionState transactionState() {
+    return transaction == null ? TransactionState.NONE : transaction.state();
+  }
+
+  private void next() {
+    busy = false;
+    running = null;
+    if (closed) {
+      return;
+    }
+    Query waiting = queued.pollFirst();
+    if (waiting != null) {
+      handle(waiting);
+      return;
+    }
+    if (transaction != null) {
+      startIdleTimer();
+    }
+    gateway.atRest(this);
+  }
+
+  private void startIdleTimer() {
+    long idleMs = gateway.idleTransactionMs();
+    if (idleMs > 0) {
+      idleTimer = gateway.dispatch().scheduler().schedule(idleMs, this::expireTransaction);
+    }
+  }
+
+  private void stopIdleTimer() {
+    if (idleTimer != null) {
+      idleTimer.cancel();
+      idleTimer = null;
+    }
+  }
+
+  private void noteCommit(LinkReply reply) {
+    reply.position().ifPresent(position -> lastCommit = lastCommit.max(position));
+  }
+
+  private static Fault notInTransaction() {
+    return Fault.of(ResultCode.BAD_STATEMENT, "no transaction is open");
+  }
+
+  private static Fault unknownPrepared(String name) {
+    return Fault.of(ResultCode.UNKNOWN_PREPARED, "no prepared statement " + name);
+  }
+
+  private final class SingleCompletion implements Completion {
+    private final Work work;
+
+    private SingleCompletion(Work work) {
+      this.work = work;
+    }
+
+    @Override
+    public void done(LinkReply reply) {
+      if (work.writes()) {
+        noteCommit(reply);
+      }
+      link.answer(reply.rows(), reply.signature(), TransactionState.NONE, reply.position());
+      next();
+    }
+
+    @Override
+    public void failed(Fault fault) {
+      refuse(fault);
+    }
+  }
+
+  private final class TransactionCompletion implements Completion {
+    private final Work work;
+
+    private TransactionCompletion(Work work) {
+      this.work = work;
+    }
+
+    @Override
+    public void done(LinkReply reply) {
+      boolean commit = work.statement() instanceof CallerStatement.Commit;
+      if (reply.state() == TransactionState.NONE) {
+        transaction = null;
+      }
+      if (commit && reply.isDone()) {
+        noteCommit(reply);
+      }
+      if (reply.fault().isPresent()) {
+        refuse(reply.fault().get());
+        return;
+      }
+      link.answer(reply.rows(), reply.signature(), transactionState(), reply.position());
+      next();
+    }
+
+    @Override
+    public void failed(Fault fault) {
+      if (work.statement() instanceof CallerStatement.Commit) {
+        transaction = null;
+      }
+      refuse(fault);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -0,0 +1,137 @@
+package io.lycheejunction.gateway.session;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.dispatch.Dispatch;
+import io.lycheejunction.gateway.link.CallerLink;
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.route.RouteTable;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+
+/** The sessions of this VM and the configuration in force for them. */
+public final class Gateway {
+  private static final EventLog LOG = EventLog.of(Gateway.class);
+
+  private final Dispatch dispatch;
+  private final Set<CallerSession> sessions = new HashSet<>();
+  private RouteTable routes = RouteTable.empty();
+  private boolean closing;
+
+  /**
+   * Creates a gateway without sessions.
+   *
+   * @param dispatch what statements share
+   */
+  public Gateway(Dispatch dispatch) {
+    this.dispatch = Objects.requireNonNull(dispatch, "dispatch is null");
+  }
+
+  /**
+   * Opens a session.
+   *
+   * @param link the caller's connection, which is told whether the session was accepted
+   * @param database the database that the caller asked for
+   * @return the session, or empty if it was rejected
+   */
+  public Optional<CallerSession> open(CallerLink link, String database) {
+    if (routes.isEmpty()) {
+      link.reject(
+          new Fault(
+              ResultCode.NO_PRIMARY,
+              "no configuration is known yet",
+              Dispatch.NO_PRIMARY_RETRY_MS));
+      return Optional.empty();
+    }
+    if (route(database).isEmpty()) {
+      link.reject(unknownDatabase(database));
+      return Optional.empty();
+    }
+    CallerSession session = new CallerSession(this, link, database);
+    sessions.add(session);
+    link.accept();
+    return Optional.of(session);
+  }
+
+  /**
+   * Puts a configuration in force, unless a newer one is.
+   *
+   * @param table the configuration
+   * @return true if it is in force now
+   */
+  public boolean apply(RouteTable table) {
+    if (table.version() <= routes.version()) {
+      return false;
+    }
+    LOG.info(
+        "configuration_applied",
+        "version",
+        table.version(),
+        "before",
+        routes.version(),
+        "routes",
+        table.routes().size());
+    routes = table;
+    dispatch.journal().configuration(table.version());
+    return true;
+  }
+
+  /**
+   * Returns the configuration in force.
+   *
+   * @return the configuration
+   */
+  public RouteTable routes() {
+    return routes;
+  }
+
+  /**
+   * Returns the number of open sessions.
+   *
+   * @return the number
+   */
+  public int sessionCount() {
+    return sessions.size();
+  }
+
+  /** Closes each session as soon as it is at rest. */
+  public void closeSessions() {
+    closing = true;
+    List.copyOf(sessions).stream().filter(CallerSession::isAtRest).forEach(CallerSession::close);
+  }
+
+  /** Ends transactions that wait for their caller, so that their sessions can be closed. */
+  public void expireTransactions() {
+    List.copyOf(sessions).forEach(CallerSession::expireTransaction);
+  }
+
+  Dispatch dispatch() {
+    return dispatch;
+  }
+
+  Optional<Route> route(String database) {
+    return routes.routeOf(database);
+  }
+
+  long idleTransactionMs() {
+    return routes.idleTransactionMs();
+  }
+
+  void forget(CallerSession session) {
+    sessions.remove(session);
+  }
+
+  void atRest(CallerSession session) {
+    if (closing && session.isAtRest()) {
+      session.close();
+    }
+  }
+
+  static Fault unknownDatabase(String database) {
+    return Fault.of(ResultCode.UNKNOWN_SERVICE, "no database " + database);
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/package-info.java
@@ -0,0 +1,2 @@
+/** The sessions of callers. */
+package io.lycheejunction.gateway.session;
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -0,0 +1,143 @@
+package io.lycheejunction.gateway.target;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.pool.TargetPool;
+
+/** A target, the connections to it, and what its answers have shown. */
+public final class TargetHandle {
+  private static final double SMOOTHING = 0.1;
+  private static final double FIRST_LATENCY_MS = 30;
+  private static final long BUSY_PAUSE_MS = 60;
+  private static final long UNREACHABLE_PAUSE_MS = 400;
+  private static final long LAGGING_PAUSE_MS = 150;
+
+  private Target target;
+  private final TargetPool pool;
+  private long claimedAtRevision;
+  private double latencyMs = FIRST_LATENCY_MS;
+  private long avoidUntilMs = Long.MIN_VALUE;
+  private long laggingUntilMs = Long.MIN_VALUE;
+  private long notPrimaryUntilRevision = Long.MIN_VALUE;
+  private long lastAnswerMs = Long.MIN_VALUE;
+  private LogPosition applied = LogPosition.ORIGIN;
+
+  TargetHandle(Target target, TargetPool pool) {
+    this.target = target;
+    this.pool = pool;
+    this.claimedAtRevision = target.claimsPrimary() ? target.revision() : Long.MIN_VALUE;
+  }
+
+  /**
+   * Returns the target as it is registered now.
+   *
+   * @return the target
+   */
+  public Target target() {
+    return target;
+  }
+
+  /**
+   * Returns the connections to the target.
+   *
+   * @return the pool
+   */
+  public TargetPool pool() {
+    return pool;
+  }
+
+  /**
+   * Returns the smoothed time of one statement.
+   *
+   * @return milliseconds
+   */
+  public double latencyMs() {
+    return latencyMs;
+  }
+
+  /**
+   * Returns the latest position that the target has shown.
+   *
+   * @return the position
+   */
+  public LogPosition applied() {
+    return applied;
+  }
+
+  /**
+   * Returns the time of the target's last answer.
+   *
+   * @return milliseconds on the scheduler's clock
+   */
+  public long lastAnswerMs() {
+    return lastAnswerMs;
+  }
+
+  /**
+   * Returns whether the target should be tried only if no other can serve.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @return true if it refused or failed a moment ago
+   */
+  public boolean isAvoided(long nowMs) {
+    return nowMs < avoidUntilMs;
+  }
+
+  /**
+   * Returns whether the target's log is known to be behind.
+   *
+   * @param floor the position that is needed
+   * @param nowMs the present time, in milliseconds
+   * @return true if it refused such a position a moment ago and has not shown it since
+   */
+  public boolean isBehind(LogPosition floor, long nowMs) {
+    return nowMs < laggingUntilMs && !applied.isAtLeast(floor);
+  }
+
+  /**
+   * Records an answer.
+   *
+   * @param tookMs the time that the statement took, in milliseconds
+   * @param position the position that the target showed
+   * @param nowMs the present time, in milliseconds
+   */
+  public void answered(long tookMs, LogPosition position, long nowMs) {
+    latencyMs += SMOOTHING * (tookMs - latencyMs);
+    applied = applied.max(position);
+    lastAnswerMs = nowMs;
+  }
+
+  /**
+   * Records a fault that the target or the way to it has shown.
+   *
+   * @param fault the fault
+   * @param nowMs the present time, in milliseconds
+   */
+  public void failed(Fault fault, long nowMs) {
+    switch (fault.code()) {
+      case TARGET_BUSY, TARGET_CONNECTIONS_FULL -> avoidUntilMs = nowMs + BUSY_PAUSE_MS;
+      case NOT_FRESH -> laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
+      case NOT_PRIMARY -> notPrimaryUntilRevision = target.revision();
+      case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION ->
+          avoidUntilMs = nowMs + UNREACHABLE_PAUSE_MS;
+      default -> {
+        // Other faults say nothing of the target itself.
+      }
+    }
+  }
+
+  boolean isPrimary() {
+    return target.claimsPrimary() && target.revision() > notPrimaryUntilRevision;
+  }
+
+  long claimedAtRevision() {
+    return claimedAtRevision;
+  }
+
+  void update(Target newer) {
+    if (newer.claimsPrimary() && !target.claimsPrimary()) {
+      claimedAtRevision = newer.revision();
+    }
+    target = newer;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -0,0 +1,158 @@
+package io.lycheejunction.gateway.target;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.gateway.pool.TargetPool;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BiFunction;
+
+/** All registered targets; one that is no longer registered gets no new work. */
+public final class Targets {
+  private static final EventLog LOG = EventLog.of(Targets.class);
+
+  private final BiFunction<Targets, Target, TargetPool> pools;
+  private final Map<String, TargetHandle> byId = new HashMap<>();
+  private final Map<String, List<TargetHandle>> byService = new HashMap<>();
+
+  /**
+   * Creates a directory without targets.
+   *
+   * @param pools makes the pool of a new target
+   */
+  public Targets(BiFunction<Targets, Target, TargetPool> pools) {
+    this.pools = pools;
+  }
+
+  /**
+   * Takes over the registrations that are in force now.
+   *
+   * @param registered all of them
+   */
+  public void update(Collection<Target> registered) {
+    Set<String> present = new HashSet<>();
+    for (Target target : registered) {
+      present.add(target.id());
+      put(target);
+    }
+    for (String id : List.copyOf(byId.keySet())) {
+      if (!present.contains(id)) {
+        retire(id, "gone");
+      }
+    }
+    index();
+  }
+
+  /**
+   * Returns the targets of a service.
+   *
+   * @param service the service
+   * @return its targets, those that leave too
+   */
+  public List<TargetHandle> of(String service) {
+    return byService.getOrDefault(service, List.of());
+  }
+
+  /**
+   * Returns a target.
+   *
+   * @param id its identifier
+   * @return the target, or empty if it is not registered
+   */
+  public Optional<TargetHandle> find(String id) {
+    return Optional.ofNullable(byId.get(id));
+  }
+
+  /**
+   * Returns the target that leads a service, as far as is known.
+   *
+   * @param service the service
+   * @return the one that claimed it last and has not been found to have lost it
+   */
+  public Optional<TargetHandle> primaryOf(String service) {
+    return of(service).stream()
+        .filter(TargetHandle::isPrimary)
+        .max(Comparator.comparingLong(TargetHandle::claimedAtRevision));
+  }
+
+  /**
+   * Returns all targets.
+   *
+   * @return the targets
+   */
+  public Collection<TargetHandle> all() {
+    return byId.values();
+  }
+
+  /**
+   * Returns whether no target is known.
+   *
+   * @return true if so
+   */
+  public boolean isEmpty() {
+    return byId.isEmpty();
+  }
+
+  private void put(Target target) {
+    TargetHandle known = byId.get(target.id());
+    if (known != null && known.target().isSameIncarnation(target)) {
+      logChange(known.target(), target);
+      known.update(target);
+      return;
+    }
+    if (known != null) {
+      retire(target.id(), "replaced");
+    }
+    byId.put(target.id(), new TargetHandle(target, pools.apply(this, target)));
+    LOG.info(
+        "target_found",
+        "target",
+        target.id(),
+        "service",
+        target.service(),
+        "primary",
+        target.claimsPrimary(),
+        "leaving",
+        target.leaving(),
+        "revision",
+        target.revision());
+  }
+
+  private static void logChange(Target before, Target after) {
+    if (before.leaving() != after.leaving() || before.claimsPrimary() != after.claimsPrimary()) {
+      LOG.info(
+          "target_changed",
+          "target",
+          after.id(),
+          "service",
+          after.service(),
+          "primary",
+          after.claimsPrimary(),
+          "leaving",
+          after.leaving(),
+          "revision",
+          after.revision());
+    }
+  }
+
+  private void retire(String id, String reason) {
+    TargetHandle handle = byId.remove(id);
+    handle.pool().retire();
+    LOG.info("target_lost", "target", id, "service", handle.target().service(), "reason", reason);
+  }
+
+  private void index() {
+    byService.clear();
+    for (TargetHandle handle : byId.values()) {
+      byService
+          .computeIfAbsent(handle.target().service(), service -> new ArrayList<>())
+          .add(handle);
+    }
+  }
+}
