Replace a primary that leaves or is gone, under a lease and a fencing token

Change: VMs vote in a table of the store; a majority of failure domains that see the primary gone, or its own word that it leaves, starts a run that takes the lease, lets a primary that still answers step down, chooses the target that has received most and orders its promotion. The lease's revision is the fencing token. Statements wait for a primary that is expected in time, or are refused at once with that time. Reads that are overdue get a second try.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -14,6 +14,8 @@
  * @param targets the targets
  * @param positions the proven positions
  * @param placement chooses targets of reads
+ * @param gate holds statements while a group has no primary
+ * @param hedging decides about second tries of reads
  * @param journal writes down decisions
  */
 public record Dispatch(
@@ -21,6 +23,8 @@
     Targets targets,
     Positions positions,
     Placement placement,
+    PrimaryGate gate,
+    Hedging hedging,
     StatementJournal journal) {
   /** How often a statement that has not run is tried. */
   static final int MAX_TRIES = 4;
@@ -37,6 +41,8 @@
     Objects.requireNonNull(targets, "targets is null");
     Objects.requireNonNull(positions, "positions is null");
     Objects.requireNonNull(placement, "placement is null");
+    Objects.requireNonNull(gate, "gate is null");
+    Objects.requireNonNull(hedging, "hedging is null");
     Objects.requireNonNull(journal, "journal is null");
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -2,42 +2,33 @@
 
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.link.LinkReply;
-import io.lycheejunction.gateway.link.TargetCommand;
-import io.lycheejunction.gateway.link.TransactionState;
-import io.lycheejunction.gateway.pool.LinkRequest;
-import io.lycheejunction.gateway.pool.LinkResult;
-import io.lycheejunction.gateway.pool.PooledLink;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.TargetHandle;
+import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 
 /**
  * Runs one statement outside a transaction.
  *
- * <p>A read with a proven floor goes to any target, which refuses it if its log lacks the floor.
- * Any other read runs inside a transaction of the gateway's own on the primary, since a target that
- * has lost the lead refuses to begin one. A write goes to the primary, once: after it was sent,
- * only a target's word that it has not run leads to another try.
+ * <p>A read may be tried on several targets, one after the other, or a second one beside the first
+ * if that is overdue. A write is sent once: after that only the target's word that it has not run
+ * leads to another try.
  */
-public final class SingleStatement {
+public final class SingleStatement implements Leg.Listener {
   private final Dispatch dispatch;
   private final Work work;
   private final Completion completion;
   private final long startedMs;
   private final Set<String> tried = new HashSet<>();
+  private final List<Leg> legs = new ArrayList<>();
   private Scheduler.Timer limit;
-  private TargetHandle target;
-  private LinkRequest request;
-  private PooledLink link;
-  private Optional<LogPosition> floor = Optional.empty();
-  private long sentMs;
-  private int tries;
-  private boolean statementSent;
+  private Scheduler.Timer overdue;
+  private Leg latest;
   private boolean ended;
   private boolean cancelled;
   private Fault lastRefusal;
@@ -59,6 +50,7 @@
   /** Starts to run the statement. */
   public void start() {
     limit = dispatch.scheduler().schedule(work.route().statementTimeoutMs(), this::onTimeout);
+    dispatch.hedging().onStatement();
     tryNext();
   }
 
@@ -69,198 +61,157 @@
    */
   public void cancel() {
     cancelled = true;
-    if (!ended && request != null) {
-      target.pool().cancel(request);
-      request = null;
+    if (!ended && legs.stream().noneMatch(Leg::isSent)) {
       finish();
+      legs.forEach(Leg::detach);
     }
   }
 
-  private void tryNext() {
+  @Override
+  public void answered(Leg leg, LinkReply reply) {
     if (ended) {
       return;
     }
-    if (tries >= Dispatch.MAX_TRIES) {
-      fail(lastRefusal);
-      return;
-    }
-    tries++;
-    String service = work.route().service();
-    floor =
-        work.writes()
-            ? Optional.empty()
-            : dispatch
-                .positions()
-                .floor(service, work.route().readRule(), work.sessionCommit(), now());
-    Optional<TargetHandle> chosen =
-        floor.isPresent()
-            ? dispatch.placement().choose(service, floor.get(), tried, now())
-            : dispatch.targets().primaryOf(service);
-    if (chosen.isEmpty()) {
-      fail(lastRefusal == null ? Dispatch.noPrimary(service) : lastRefusal);
-      return;
+    latest = leg;
+    finish();
+    journal(Optional.empty());
+    if (!cancelled) {
+      completion.done(reply);
     }
-    target = chosen.get();
-    request =
-        new Reach(
-            work.session(),
-            work.route().priority(),
-            startedMs + work.route().statementTimeoutMs(),
-            this::onGranted,
-            this::onRefused);
-    target.pool().acquire(request);
   }
 
-  private void onGranted(PooledLink granted) {
-    request = null;
-    if (ended) {
-      granted.release();
-      return;
-    }
-    link = granted;
-    sentMs = now();
-    if (work.writes() || floor.isPresent()) {
-      sendStatement(false);
-      return;
-    }
-    link.run(
-        work.session(),
-        TargetCommand.own(new CallerStatement.Begin(false)),
-        result -> onBegun(granted, result));
+  @Override
+  public void refused(Leg leg, Fault fault) {
+    lastRefusal = fault;
+    retry(leg);
   }
 
-  private void onBegun(PooledLink begun, LinkResult result) {
-    if (link != begun) {
+  @Override
+  public void broken(Leg leg, Fault fault) {
+    if (ended) {
       return;
     }
-    switch (result) {
-      case LinkResult.Lost lost -> onRefusedBy(lost.cause());
-      case LinkResult.Replied replied -> {
-        LinkReply reply = replied.reply();
-        if (reply.fault().isPresent()) {
-          begun.release();
-          onRefusedBy(reply.fault().get());
-          return;
-        }
-        if (reply.state() != TransactionState.OPEN) {
-          begun.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "no transaction was begun"));
-          onRefusedBy(Fault.of(ResultCode.TARGET_UNREACHABLE, "no transaction was begun"));
-          return;
-        }
-        reply.position().ifPresent(this::recordProof);
-        sendStatement(true);
-      }
+    if (work.writes()) {
+      fail(outcomeOfWrite(leg, fault));
+      return;
     }
+    lastRefusal = fault;
+    retry(leg);
   }
 
-  private void sendStatement(boolean rollBack) {
-    PooledLink used = link;
-    statementSent = true;
-    work.send(used, floor, rollBack, result -> onResult(used, result));
+  private Fault outcomeOfWrite(Leg leg, Fault fault) {
+    return fault.code() == ResultCode.TARGET_UNREACHABLE
+        ? Fault.of(
+            ResultCode.UNKNOWN_OUTCOME,
+            "connection to " + leg.target().target().id() + " ended before the answer")
+        : fault;
   }
 
-  private void onResult(PooledLink used, LinkResult result) {
-    if (link != used) {
+  private void retry(Leg leg) {
+    if (ended || legs.stream().anyMatch(other -> other != leg && !other.isEnded())) {
       return;
     }
-    switch (result) {
-      case LinkResult.Lost lost -> onLost(lost.cause());
-      case LinkResult.Replied replied -> onReply(replied.reply());
-    }
+    tryNext();
   }
 
-  private void onReply(LinkReply reply) {
-    PooledLink used = link;
-    link = null;
-    used.release();
-    if (reply.fault().isPresent()) {
-      onTargetFault(reply.fault().get());
+  private void tryNext() {
+    if (ended) {
       return;
     }
-    target.answered(now() - sentMs, Work.positionOf(reply), now());
-    if (work.writes()) {
-      reply.position().ifPresent(this::recordProof);
+    if (legs.size() >= Dispatch.MAX_TRIES) {
+      fail(refusal());
+      return;
     }
-    finish();
-    journal(Optional.empty());
-    if (!cancelled) {
-      completion.done(reply);
+    Optional<LogPosition> floor = floor();
+    Optional<TargetHandle> chosen = choose(floor);
+    if (chosen.isEmpty()) {
+      waitForPrimary();
+      return;
     }
+    startLeg(chosen.get(), floor);
   }
 
-  private void onTargetFault(Fault fault) {
-    if (fault.isNotRun()) {
-      statementSent = false;
-      onRefusedBy(fault);
-      return;
+  private Optional<LogPosition> floor() {
+    if (work.writes()) {
+      return Optional.empty();
     }
-    fail(fault);
+    return dispatch
+        .positions()
+        .floor(work.route().service(), work.route().readRule(), work.sessionCommit(), now());
   }
 
-  private void onLost(Fault cause) {
-    dispatch.noteFault(target, cause);
-    link = null;
-    if (work.writes()) {
-      fail(
-          new Fault(
-              ResultCode.UNKNOWN_OUTCOME,
-              "connection to "
-                  + target.target().id()
-                  + " ended before the answer: "
-                  + cause.detail(),
-              0));
-      return;
+  private Optional<TargetHandle> choose(Optional<LogPosition> floor) {
+    String service = work.route().service();
+    if (floor.isPresent()) {
+      return dispatch.placement().choose(service, floor.get(), tried, now());
     }
-    statementSent = false;
-    lastRefusal = unavailable(cause);
-    tried.add(target.target().id());
-    tryNext();
+    return dispatch
+        .targets()
+        .primaryOf(service)
+        .filter(handle -> !tried.contains(handle.target().id()));
   }
 
-  private void onRefused(Fault fault) {
-    request = null;
-    onRefusedBy(fault);
+  private void startLeg(TargetHandle target, Optional<LogPosition> floor) {
+    tried.add(target.target().id());
+    Leg leg = new Leg(dispatch, work, target, floor, this);
+    legs.add(leg);
+    latest = leg;
+    if (floor.isPresent()) {
+      overdue =
+          dispatch
+              .scheduler()
+              .schedule(dispatch.hedging().overdueAfterMs(target), () -> onOverdue(leg));
+    }
+    leg.start(startedMs + work.route().statementTimeoutMs());
   }
 
-  private void onRefusedBy(Fault fault) {
-    link = null;
-    if (ended) {
+  private void onOverdue(Leg leg) {
+    if (ended || leg.isEnded()) {
       return;
     }
-    dispatch.noteFault(target, fault);
-    tried.add(target.target().id());
-    lastRefusal = unavailable(fault);
-    boolean sameTarget = floor.isEmpty() && isRepeatedAtSameTarget(fault);
-    if (sameTarget) {
-      fail(lastRefusal);
-      return;
+    leg.target().overdue(now());
+    if (legs.size() < Dispatch.MAX_TRIES && dispatch.hedging().take()) {
+      Optional<LogPosition> floor = floor();
+      floor.flatMap(ignored -> choose(floor)).ifPresent(target -> startLeg(target, floor));
     }
+  }
+
+  /** Waits for a primary if one is expected soon enough, or refuses at once. */
+  private void waitForPrimary() {
+    long untilMs = startedMs + dispatch.gate().longestWaitMs(work.route().statementTimeoutMs());
+    boolean waits =
+        dispatch.gate().await(work.route().service(), untilMs, this::onPrimary, this::onNoPrimary);
+    if (!waits) {
+      onNoPrimary();
+    }
+  }
+
+  private void onPrimary() {
+    tried.clear();
     tryNext();
   }
 
-  /** Returns whether another try would meet the same primary in the same state. */
-  private boolean isRepeatedAtSameTarget(Fault fault) {
-    Optional<TargetHandle> primary = dispatch.targets().primaryOf(work.route().service());
-    return primary.isPresent() && primary.get() == target;
+  private void onNoPrimary() {
+    if (!ended) {
+      fail(refusal());
+    }
   }
 
-  private Fault unavailable(Fault fault) {
-    long retryAfterMs = Math.max(fault.retryAfterMs(), Dispatch.BUSY_RETRY_MS);
-    return new Fault(fault.code(), fault.detail(), retryAfterMs);
+  private Fault refusal() {
+    Fault cause = lastRefusal == null ? Dispatch.noPrimary(work.route().service()) : lastRefusal;
+    long retryAfterMs =
+        Math.max(dispatch.gate().expectedMs(work.route().service()), Dispatch.BUSY_RETRY_MS);
+    return new Fault(cause.code(), cause.detail(), retryAfterMs);
   }
 
   private void onTimeout() {
     if (ended) {
       return;
     }
-    if (request != null) {
-      target.pool().cancel(request);
-      request = null;
-    }
-    if (!statementSent) {
-      if (link != null) {
-        abandonLink(Fault.of(ResultCode.STATEMENT_TIMEOUT, "time limit while beginning"));
-      }
+    Fault cause = Fault.of(ResultCode.STATEMENT_TIMEOUT, "time limit of the statement");
+    boolean sent = legs.stream().anyMatch(leg -> leg.isSent() && !leg.isEnded());
+    legs.forEach(leg -> leg.abandon(cause));
+    if (!sent) {
       fail(
           new Fault(
               ResultCode.DEADLINE_EXCEEDED,
@@ -268,19 +219,9 @@
               Dispatch.BUSY_RETRY_MS));
       return;
     }
-    abandonLink(Fault.of(ResultCode.STATEMENT_TIMEOUT, "time limit of the statement"));
+    legs.stream().filter(leg -> leg.isSent()).forEach(leg -> leg.target().overdue(now()));
     ResultCode code = work.writes() ? ResultCode.UNKNOWN_OUTCOME : ResultCode.STATEMENT_TIMEOUT;
-    fail(Fault.of(code, "no answer from " + target.target().id() + " within the time limit"));
-  }
-
-  private void abandonLink(Fault cause) {
-    PooledLink used = link;
-    link = null;
-    used.abandon(cause);
-  }
-
-  private void recordProof(LogPosition position) {
-    dispatch.positions().of(work.route().service()).record(sentMs, position);
+    fail(Fault.of(code, "no answer within the time limit"));
   }
 
   private void fail(Fault fault) {
@@ -297,9 +238,9 @@
         .write(
             new StatementJournal.Entry(
                 work,
-                target == null ? "-" : target.target().id(),
-                floor.map(LogPosition::toString).orElse("-"),
-                tries,
+                latest == null ? "-" : latest.target().target().id(),
+                latest == null ? "-" : latest.floor().map(LogPosition::toString).orElse("-"),
+                legs.size(),
                 now() - startedMs,
                 fault));
   }
@@ -307,6 +248,9 @@
   private void finish() {
     ended = true;
     limit.cancel();
+    if (overdue != null) {
+      overdue.cancel();
+    }
   }
 
   private long now() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -120,6 +120,9 @@
       target.pool().cancel(request);
       request = null;
     }
+    if (run != null && link == null) {
+      endRun();
+    }
     if (run == null) {
       releaseLink();
     }
@@ -150,7 +153,7 @@
                 .primaryOf(route.service())
                 .filter(handle -> !tried.contains(handle.target().id()));
     if (chosen.isEmpty()) {
-      fail(Dispatch.noPrimary(route.service()));
+      waitForPrimary();
       return;
     }
     target = chosen.get();
@@ -164,6 +167,39 @@
     target.pool().acquire(request);
   }
 
+  private void waitForPrimary() {
+    Run waitingRun = run;
+    long untilMs = run.startedMs + dispatch.gate().longestWaitMs(route.statementTimeoutMs());
+    boolean waits =
+        dispatch
+            .gate()
+            .await(
+                route.service(),
+                untilMs,
+                () -> onPrimary(waitingRun),
+                () -> onNoPrimary(waitingRun));
+    if (!waits) {
+      onNoPrimary(waitingRun);
+    }
+  }
+
+  private void onPrimary(Run waitingRun) {
+    if (run == waitingRun) {
+      tried.clear();
+      beginNext();
+    }
+  }
+
+  private void onNoPrimary(Run waitingRun) {
+    if (run == waitingRun) {
+      fail(
+          new Fault(
+              ResultCode.NO_PRIMARY,
+              "no primary of " + route.service() + " can be used",
+              Math.max(dispatch.gate().expectedMs(route.service()), Dispatch.BUSY_RETRY_MS)));
+    }
+  }
+
   private Optional<LogPosition> beginFloor() {
     if (!readOnly || route.readRule() instanceof ReadRule.Latest) {
       return Optional.empty();
@@ -177,6 +213,7 @@
     request = null;
     link = granted;
     run.sentMs = now();
+    target.asked(run.sentMs);
     TargetCommand begin =
         new TargetCommand.Run(
             Optional.empty(), floor, new CallerStatement.Begin(floor.isPresent()));
@@ -202,6 +239,7 @@
   }
 
   private void onBeginReply(LinkReply reply) {
+    target.heard(now());
     if (reply.fault().isPresent() || reply.state() != TransactionState.OPEN) {
       PooledLink used = link;
       link = null;
@@ -233,17 +271,6 @@
       endRun();
       return;
     }
-    if (floor.isEmpty()) {
-      Optional<TargetHandle> primary = dispatch.targets().primaryOf(route.service());
-      if (primary.isEmpty() || primary.get() == target) {
-        fail(
-            new Fault(
-                fault.code(),
-                fault.detail(),
-                Math.max(fault.retryAfterMs(), Dispatch.BUSY_RETRY_MS)));
-        return;
-      }
-    }
     beginNext();
   }
 
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -0,0 +1,234 @@
+package io.lycheejunction.gateway.failover;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.failover.PreVote;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.statement.SessionState;
+import io.lycheejunction.gateway.link.LinkReply;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.pool.LinkRequest;
+import io.lycheejunction.gateway.pool.LinkResult;
+import io.lycheejunction.gateway.pool.PooledLink;
+import io.lycheejunction.gateway.target.TargetHandle;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
+
+/** Watches the primary of one service, and starts to replace it when it is gone or leaves. */
+final class ServiceWatch {
+  private static final EventLog LOG = EventLog.of(ServiceWatch.class);
+  private static final long PROBE_INTERVAL_MS = 600;
+  private static final long PROBE_TIMEOUT_MS = 900;
+  private static final long DOUBT_INTERVAL_MS = 100;
+  private static final long REPEAT_VOTE_MS = 1_000;
+  private static final long LEAVING_SPREAD_MS = 300;
+
+  private final Failover failover;
+  private final String service;
+  private final long jitterMs;
+  private Optional<String> lastPrimary = Optional.empty();
+  private Optional<Boolean> lastVote = Optional.empty();
+  private long lastVoteMs;
+  private long lastProbeMs = Long.MIN_VALUE;
+  private boolean probing;
+  private long startableFromMs = Long.MIN_VALUE;
+  private FailoverRun run;
+
+  ServiceWatch(Failover failover, String service) {
+    this.failover = failover;
+    this.service = service;
+    this.jitterMs = Math.floorMod((failover.vm() + '/' + service).hashCode(), LEAVING_SPREAD_MS);
+  }
+
+  /** Looks at the primary; returns true if the next look should come soon. */
+  boolean look() {
+    Optional<TargetHandle> primary = failover.targets().primaryOf(service);
+    notePrimary(primary);
+    if (primary.isEmpty()) {
+      return lookWithoutPrimary();
+    }
+    TargetHandle handle = primary.get();
+    probeIfDue(handle);
+    if (handle.target().leaving()) {
+      startOnceAfter(jitterMs, "leaving", primary, true);
+      return true;
+    }
+    boolean gone = handle.suspicion().isGone(now());
+    voteOn(handle.target().id(), gone);
+    if (gone) {
+      decide(handle.target().id(), primary);
+      return true;
+    }
+    startableFromMs = Long.MIN_VALUE;
+    return handle.suspicion().isDoubtful(now());
+  }
+
+  private void notePrimary(Optional<TargetHandle> primary) {
+    Optional<String> id = primary.map(handle -> handle.target().id());
+    if (id.isPresent() && !id.equals(lastPrimary)) {
+      LOG.info("primary_found", "service", service, "target", id.get());
+      lastPrimary = id;
+      lastVote = Optional.empty();
+      startableFromMs = Long.MIN_VALUE;
+      if (run != null) {
+        run.succeeded(id.get());
+      }
+    }
+    if (primary.isPresent() && !primary.get().suspicion().isGone(now())) {
+      failover.gate().open(service);
+    }
+  }
+
+  private boolean lookWithoutPrimary() {
+    if (lastPrimary.isEmpty() && failover.targets().of(service).isEmpty()) {
+      return false;
+    }
+    String id = lastPrimary.orElse("");
+    vote(id, true);
+    decide(id, Optional.empty());
+    return true;
+  }
+
+  private void voteOn(String primary, boolean gone) {
+    boolean asked =
+        failover.board().votes(service).stream()
+            .anyMatch(
+                vote ->
+                    vote.primary().equals(primary)
+                        && vote.gone()
+                        && !vote.vm().equals(failover.vm()));
+    if (gone || asked || lastVote.equals(Optional.of(true))) {
+      vote(primary, gone);
+    }
+  }
+
+  private void vote(String primary, boolean gone) {
+    boolean changed = !lastVote.equals(Optional.of(gone));
+    if (!changed && now() - lastVoteMs < REPEAT_VOTE_MS) {
+      return;
+    }
+    lastVote = Optional.of(gone);
+    lastVoteMs = now();
+    LOG.info("primary_vote", "service", service, "primary", primary, "gone", gone);
+    failover
+        .board()
+        .vote(service, new Vote(failover.vm(), failover.failureDomain(), primary, gone));
+  }
+
+  private void decide(String primary, Optional<TargetHandle> handle) {
+    Set<String> domains =
+        failover.targets().of(service).stream()
+            .map(target -> target.target().failureDomain())
+            .collect(Collectors.toSet());
+    List<Vote> votes = failover.board().votes(service);
+    if (Judgement.of(domains, primary, votes) == PreVote.Outcome.GRANTED) {
+      startOnceAfter(0, "gone", handle, false);
+    }
+  }
+
+  private void startOnceAfter(
+      long delayMs, String reason, Optional<TargetHandle> previous, boolean stepsDown) {
+    if (startableFromMs == Long.MIN_VALUE) {
+      startableFromMs = now() + delayMs;
+    }
+    boolean heldByOther =
+        failover
+            .board()
+            .lease(service)
+            .filter(lease -> lease.isHeld(now()) && !lease.holder().equals(failover.holder()))
+            .isPresent();
+    if (heldByOther) {
+      failover.gate().ordered(service);
+    }
+    if (now() < startableFromMs || heldByOther || run != null && !run.isEnded()) {
+      return;
+    }
+    run = new FailoverRun(failover, service, reason, previous, stepsDown);
+    run.start();
+  }
+
+  private void probeIfDue(TargetHandle handle) {
+    boolean doubtful = handle.suspicion().isDoubtful(now());
+    long proofAgeMs = failover.positions().of(service).newestAgeMs(now());
+    boolean due = doubtful || proofAgeMs > PROBE_INTERVAL_MS;
+    long pauseMs = doubtful ? DOUBT_INTERVAL_MS : PROBE_INTERVAL_MS;
+    if (due && !probing && now() - lastProbeMs >= pauseMs) {
+      probing = true;
+      lastProbeMs = now();
+      handle.pool().acquire(new Probe(handle));
+    }
+  }
+
+  private long now() {
+    return failover.scheduler().nowMs();
+  }
+
+  /** Asks the primary to begin a transaction, which shows that it leads, and ends it at once. */
+  private final class Probe implements LinkRequest {
+    private final TargetHandle handle;
+    private final long askedMs = now();
+
+    private Probe(TargetHandle handle) {
+      this.handle = handle;
+    }
+
+    @Override
+    public SessionState session() {
+      return SessionState.empty();
+    }
+
+    @Override
+    public int priority() {
+      return 0;
+    }
+
+    @Override
+    public long untilMs() {
+      return askedMs + PROBE_TIMEOUT_MS;
+    }
+
+    @Override
+    public void granted(PooledLink link) {
+      handle.asked(now());
+      long sentMs = now();
+      link.runAndRollBack(
+          SessionState.empty(),
+          TargetCommand.own(new CallerStatement.Begin(false)),
+          result -> onResult(link, sentMs, result));
+      failover
+          .scheduler()
+          .schedule(
+              PROBE_TIMEOUT_MS,
+              () -> {
+                if (probing && lastProbeMs == askedMs) {
+                  link.abandon(
+                      Fault.of(
+                          io.lycheejunction.core.result.ResultCode.TARGET_UNREACHABLE,
+                          "no answer to a probe"));
+                }
+              });
+    }
+
+    @Override
+    public void refused(Fault fault) {
+      probing = false;
+    }
+
+    private void onResult(PooledLink link, long sentMs, LinkResult result) {
+      probing = false;
+      if (result instanceof LinkResult.Replied(LinkReply reply)) {
+        handle.heard(now());
+        link.release();
+        reply.fault().ifPresent(fault -> handle.failed(fault, now()));
+        if (reply.isDone() && reply.state() == TransactionState.OPEN) {
+          reply
+              .position()
+              .ifPresent(position -> failover.positions().of(service).record(sentMs, position));
+        }
+      }
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
@@ -0,0 +1,146 @@
+package io.lycheejunction.gateway.failover;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.statement.SessionState;
+import io.lycheejunction.gateway.link.LinkReply;
+import io.lycheejunction.gateway.link.StatusReport;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TargetLinks;
+import io.lycheejunction.gateway.pool.LinkRequest;
+import io.lycheejunction.gateway.pool.LinkResult;
+import io.lycheejunction.gateway.pool.PooledLink;
+import io.lycheejunction.gateway.schedule.Scheduler;
+import io.lycheejunction.gateway.target.TargetHandle;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/** Asks targets for their positions, all at once, and waits for a limited time. */
+final class StatusRound {
+  private final Scheduler scheduler;
+  private final TargetLinks links;
+  private final TargetCommand command;
+  private final List<Candidate> answers = new ArrayList<>();
+  private final Consumer<List<Candidate>> done;
+  private Scheduler.Timer limit;
+  private int open;
+  private boolean ended;
+
+  private StatusRound(
+      Scheduler scheduler,
+      TargetLinks links,
+      TargetCommand command,
+      Consumer<List<Candidate>> done) {
+    this.scheduler = scheduler;
+    this.links = links;
+    this.command = command;
+    this.done = done;
+  }
+
+  /**
+   * Starts a round.
+   *
+   * @param scheduler the gateway's clock
+   * @param links reads the answers
+   * @param targets whom to ask
+   * @param command the question; its answer is a status
+   * @param timeoutMs how long answers are waited for, in milliseconds
+   * @param done is given the answers that have come
+   */
+  static void start(
+      Scheduler scheduler,
+      TargetLinks links,
+      List<TargetHandle> targets,
+      TargetCommand command,
+      long timeoutMs,
+      Consumer<List<Candidate>> done) {
+    StatusRound round = new StatusRound(scheduler, links, command, done);
+    round.open = targets.size();
+    round.limit = scheduler.schedule(timeoutMs, round::end);
+    if (targets.isEmpty()) {
+      round.end();
+      return;
+    }
+    targets.forEach(target -> round.ask(target, scheduler.nowMs() + timeoutMs));
+  }
+
+  private void ask(TargetHandle target, long untilMs) {
+    target.pool().acquire(new Question(target, untilMs));
+  }
+
+  private void answered() {
+    open--;
+    if (open == 0) {
+      end();
+    }
+  }
+
+  private void end() {
+    if (!ended) {
+      ended = true;
+      limit.cancel();
+      done.accept(List.copyOf(answers));
+    }
+  }
+
+  private final class Question implements LinkRequest {
+    private final TargetHandle target;
+    private final long untilMs;
+
+    private Question(TargetHandle target, long untilMs) {
+      this.target = target;
+      this.untilMs = untilMs;
+    }
+
+    @Override
+    public SessionState session() {
+      return SessionState.empty();
+    }
+
+    @Override
+    public int priority() {
+      return 0;
+    }
+
+    @Override
+    public long untilMs() {
+      return untilMs;
+    }
+
+    @Override
+    public void granted(PooledLink link) {
+      link.run(SessionState.empty(), command, result -> onResult(link, result));
+      scheduler.schedule(Math.max(1, untilMs - scheduler.nowMs()), () -> giveUp(link));
+    }
+
+    @Override
+    public void refused(Fault fault) {
+      target.failed(fault, scheduler.nowMs());
+      answered();
+    }
+
+    private boolean replied;
+
+    private void giveUp(PooledLink link) {
+      if (!replied) {
+        link.abandon(
+            Fault.of(
+                io.lycheejunction.core.result.ResultCode.TARGET_UNREACHABLE, "no status in time"));
+      }
+    }
+
+    private void onResult(PooledLink link, LinkResult result) {
+      replied = true;
+      if (result instanceof LinkResult.Replied(LinkReply reply)) {
+        link.release();
+        target.heard(scheduler.nowMs());
+        links.statusOf(reply).ifPresent(this::add);
+      }
+      answered();
+    }
+
+    private void add(StatusReport report) {
+      answers.add(new Candidate(target, report.received(), report.term()));
+    }
+  }
+}
--- a/gateway/src/main/java/io/lycheejunction/gateway/link/TargetLinks.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/TargetLinks.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.gateway.target.Target;
+import java.util.Optional;
 
 /** Opens connections to targets. */
 public interface TargetLinks {
@@ -40,4 +41,12 @@
    * @return the connection, which accepts commands once it is opened
    */
   TargetLink open(Target target, Listener listener);
+
+  /**
+   * Returns what the answer to {@link TargetCommand.AskStatus} says.
+   *
+   * @param reply the answer
+   * @return the report, or empty if the answer is none
+   */
+  Optional<StatusReport> statusOf(LinkReply reply);
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.gateway.target;
 
+import io.lycheejunction.core.failover.Suspicion;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.pool.TargetPool;
@@ -11,6 +12,7 @@
   private static final long BUSY_PAUSE_MS = 60;
   private static final long UNREACHABLE_PAUSE_MS = 400;
   private static final long LAGGING_PAUSE_MS = 150;
+  private static final long OVERDUE_PAUSE_MS = 1_000;
 
   private Target target;
   private final TargetPool pool;
@@ -21,8 +23,10 @@
   private long notPrimaryUntilRevision = Long.MIN_VALUE;
   private long lastAnswerMs = Long.MIN_VALUE;
   private LogPosition applied = LogPosition.ORIGIN;
+  private Suspicion suspicion;
 
-  TargetHandle(Target target, TargetPool pool) {
+  TargetHandle(Target target, TargetPool pool, long nowMs) {
+    this.suspicion = Suspicion.unseen(nowMs);
     this.target = target;
     this.pool = pool;
     this.claimedAtRevision = target.claimsPrimary() ? target.revision() : Long.MIN_VALUE;
@@ -94,6 +98,52 @@
     return nowMs < laggingUntilMs && !applied.isAtLeast(floor);
   }
 
+  /**
+   * Returns what speaks for the target being gone.
+   *
+   * @return the suspicion
+   */
+  public Suspicion suspicion() {
+    return suspicion;
+  }
+
+  /**
+   * Records that the target was asked something that it answers without any work.
+   *
+   * @param nowMs the present time, in milliseconds
+   */
+  public void asked(long nowMs) {
+    suspicion = suspicion.asked(nowMs);
+  }
+
+  /**
+   * Records that the target has answered anything at all.
+   *
+   * @param nowMs the present time, in milliseconds
+   */
+  public void heard(long nowMs) {
+    suspicion = suspicion.answered(nowMs);
+    lastAnswerMs = nowMs;
+  }
+
+  /**
+   * Records that no connection could be opened.
+   *
+   * @param nowMs the present time, in milliseconds
+   */
+  public void unreachable(long nowMs) {
+    suspicion = suspicion.refusedAt(nowMs);
+  }
+
+  /**
+   * Records that an answer of the target is overdue, so that others are preferred for a while.
+   *
+   * @param nowMs the present time, in milliseconds
+   */
+  public void overdue(long nowMs) {
+    avoidUntilMs = nowMs + OVERDUE_PAUSE_MS;
+  }
+
   /**
    * Records an answer.
    *
@@ -104,7 +154,8 @@
   public void answered(long tookMs, LogPosition position, long nowMs) {
     latencyMs += SMOOTHING * (tookMs - latencyMs);
     applied = applied.max(position);
-    lastAnswerMs = nowMs;
+    avoidUntilMs = Long.MIN_VALUE;
+    heard(nowMs);
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.gateway.pool.TargetPool;
+import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -13,20 +14,32 @@
 import java.util.Set;
 import java.util.function.BiFunction;
 
-/** All registered targets; one that is no longer registered gets no new work. */
+/**
+ * All registered targets.
+ *
+ * <p>A registration that has disappeared may only have lapsed while the store was away, so its
+ * target is kept for a while. One that is still missing then is gone and gets no new work.
+ */
 public final class Targets {
+  /** How long a missing registration may come back, in milliseconds. */
+  public static final long LAPSED_MS = 2_500;
+
   private static final EventLog LOG = EventLog.of(Targets.class);
 
+  private final Scheduler scheduler;
   private final BiFunction<Targets, Target, TargetPool> pools;
+  private final Map<String, Long> missingSinceMs = new HashMap<>();
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
 
   /**
    * Creates a directory without targets.
    *
+   * @param scheduler the gateway's clock
    * @param pools makes the pool of a new target
    */
-  public Targets(BiFunction<Targets, Target, TargetPool> pools) {
+  public Targets(Scheduler scheduler, BiFunction<Targets, Target, TargetPool> pools) {
+    this.scheduler = scheduler;
     this.pools = pools;
   }
 
@@ -41,9 +54,42 @@
       present.add(target.id());
       put(target);
     }
-    for (String id : List.copyOf(byId.keySet())) {
-      if (!present.contains(id)) {
-        retire(id, "gone");
+    for (String id : byId.keySet()) {
+      if (!present.contains(id) && !missingSinceMs.containsKey(id)) {
+        LOG.info("target_missing", "target", id);
+        missingSinceMs.put(id, scheduler.nowMs());
+        scheduler.schedule(LAPSED_MS, this::dropMissing);
+      }
+    }
+    missingSinceMs.keySet().removeAll(present);
+    index();
+  }
+
+  /**
+   * Returns whether a target's registration has disappeared.
+   *
+   * @param id the identifier of the target
+   * @return true if so
+   */
+  public boolean isMissing(String id) {
+    return missingSinceMs.containsKey(id);
+  }
+
+  /**
+   * Returns the names of all services that have targets.
+   *
+   * @return the names
+   */
+  public Set<String> services() {
+    return Set.copyOf(byService.keySet());
+  }
+
+  private void dropMissing() {
+    long beforeMs = scheduler.nowMs() - LAPSED_MS;
+    for (Map.Entry<String, Long> missing : Map.copyOf(missingSinceMs).entrySet()) {
+      if (missing.getValue() <= beforeMs) {
+        missingSinceMs.remove(missing.getKey());
+        retire(missing.getKey(), "gone");
       }
     }
     index();
@@ -109,7 +155,7 @@
     if (known != null) {
       retire(target.id(), "replaced");
     }
-    byId.put(target.id(), new TargetHandle(target, pools.apply(this, target)));
+    byId.put(target.id(), new TargetHandle(target, pools.apply(this, target), scheduler.nowMs()));
     LOG.info(
         "target_found",
         "target",
