Ask targets who leads when no primary is known, and rank claims by proven term

Change: a VM without a primary asks all targets for their state and takes the one that leads the highest term; a target that has proven to lead a term goes before one that only claims to.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
@@ -202,6 +202,7 @@
   }
 
   private void recordProof(LogPosition position) {
+    target.leads(position.term());
     dispatch.positions().of(work.route().service()).record(sentMs, position);
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -391,7 +391,11 @@
   private void recordProof(LinkReply reply, long askedMs) {
     reply
         .position()
-        .ifPresent(position -> dispatch.positions().of(route.service()).record(askedMs, position));
+        .ifPresent(
+            position -> {
+              target.leads(position.term());
+              dispatch.positions().of(route.service()).record(askedMs, position);
+            });
   }
 
   private void journal(Run ended, Optional<Fault> fault) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Candidate.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Candidate.java
@@ -11,8 +11,9 @@
  * @param handle the target
  * @param received its last received position
  * @param term the newest term that it knows
+ * @param primary true if it leads that term
  */
-record Candidate(TargetHandle handle, LogPosition received, long term) {
+record Candidate(TargetHandle handle, LogPosition received, long term, boolean primary) {
   /** Orders candidates by what would be lost: the one that has received most comes last. */
   static final Comparator<Candidate> BY_POSITION =
       Comparator.comparing(Candidate::received)
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -12,6 +12,7 @@
 import io.lycheejunction.gateway.pool.LinkResult;
 import io.lycheejunction.gateway.pool.PooledLink;
 import io.lycheejunction.gateway.target.TargetHandle;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,6 +26,8 @@
   private static final long DOUBT_INTERVAL_MS = 100;
   private static final long REPEAT_VOTE_MS = 1_000;
   private static final long LEAVING_SPREAD_MS = 300;
+  private static final long ASK_INTERVAL_MS = 300;
+  private static final long ASK_TIMEOUT_MS = 250;
 
   private final Failover failover;
   private final String service;
@@ -32,8 +35,10 @@
   private Optional<String> lastPrimary = Optional.empty();
   private Optional<Boolean> lastVote = Optional.empty();
   private long lastVoteMs;
-  private long lastProbeMs = Long.MIN_VALUE;
+  private long lastProbeMs = Long.MIN_VALUE / 2;
+  private long lastAskMs = Long.MIN_VALUE / 2;
   private boolean probing;
+  private boolean asking;
   private long startableFromMs = Long.MIN_VALUE;
   private FailoverRun run;
 
@@ -86,12 +91,46 @@
     if (lastPrimary.isEmpty() && failover.targets().of(service).isEmpty()) {
       return false;
     }
+    askForPrimary();
     String id = lastPrimary.orElse("");
     vote(id, true);
     decide(id, Optional.empty());
     return true;
   }
 
+  /** Asks all targets who leads, since a promotion may not have been heard of. */
+  private void askForPrimary() {
+    if (asking || now() - lastAskMs < ASK_INTERVAL_MS) {
+      return;
+    }
+    asking = true;
+    lastAskMs = now();
+    StatusRound.start(
+        failover.scheduler(),
+        failover.links(),
+        failover.targets().of(service),
+        new TargetCommand.AskStatus(),
+        ASK_TIMEOUT_MS,
+        this::onStatuses);
+  }
+
+  private void onStatuses(List<Candidate> answers) {
+    asking = false;
+    answers.stream()
+        .filter(Candidate::primary)
+        .max(Comparator.comparingLong(Candidate::term))
+        .ifPresent(
+            leader -> {
+              LOG.info(
+                  "primary_asked",
+                  "service", service,
+                  "target", leader.handle().target().id(),
+                  "term", leader.term());
+              leader.handle().leads(leader.term());
+              look();
+            });
+  }
+
   private void voteOn(String primary, boolean gone) {
     boolean asked =
         failover.board().votes(service).stream()
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
@@ -140,7 +140,7 @@
     }
 
     private void add(StatusReport report) {
-      answers.add(new Candidate(target, report.received(), report.term()));
+      answers.add(new Candidate(target, report.received(), report.term(), report.primary()));
     }
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -21,6 +21,7 @@
   private long avoidUntilMs = Long.MIN_VALUE;
   private long laggingUntilMs = Long.MIN_VALUE;
   private long notPrimaryUntilRevision = Long.MIN_VALUE;
+  private long provenTerm;
   private long lastAnswerMs = Long.MIN_VALUE;
   private LogPosition applied = LogPosition.ORIGIN;
   private Suspicion suspicion;
@@ -168,7 +169,10 @@
     switch (fault.code()) {
       case TARGET_BUSY, TARGET_CONNECTIONS_FULL -> avoidUntilMs = nowMs + BUSY_PAUSE_MS;
       case NOT_FRESH -> laggingUntilMs = nowMs + LAGGING_PAUSE_MS;
-      case NOT_PRIMARY -> notPrimaryUntilRevision = target.revision();
+      case NOT_PRIMARY -> {
+        notPrimaryUntilRevision = target.revision();
+        provenTerm = 0;
+      }
       case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION ->
           avoidUntilMs = nowMs + UNREACHABLE_PAUSE_MS;
       default -> {
@@ -177,8 +181,26 @@
     }
   }
 
+  /**
+   * Records that the target has shown that it leads.
+   *
+   * @param term the term that it leads
+   */
+  public void leads(long term) {
+    provenTerm = term;
+  }
+
+  /**
+   * Returns the term that the target has shown to lead and has not been found to have lost.
+   *
+   * @return the term, or 0 if there is none
+   */
+  long provenTerm() {
+    return provenTerm;
+  }
+
   boolean isPrimary() {
-    return target.claimsPrimary() && target.revision() > notPrimaryUntilRevision;
+    return provenTerm > 0 || target.claimsPrimary() && target.revision() > notPrimaryUntilRevision;
   }
 
   long claimedAtRevision() {
@@ -189,6 +211,9 @@
     if (newer.claimsPrimary() && !target.claimsPrimary()) {
       claimedAtRevision = newer.revision();
     }
+    if (!newer.claimsPrimary() && target.claimsPrimary()) {
+      provenTerm = 0;
+    }
     target = newer;
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -118,13 +118,21 @@
   /**
    * Returns the target that leads a service, as far as is known.
    *
+   * <p>A target that answers goes before one that is gone; then counts the term that a target has
+   * shown to lead, and last which registration claimed the lead later, since a registration may be
+   * out of date.
+   *
    * @param service the service
-   * @return the one that claimed it last and has not been found to have lost it
+   * @return the primary, or empty if no target claims to lead
    */
   public Optional<TargetHandle> primaryOf(String service) {
+    long nowMs = scheduler.nowMs();
     return of(service).stream()
         .filter(TargetHandle::isPrimary)
-        .max(Comparator.comparingLong(TargetHandle::claimedAtRevision));
+        .max(
+            Comparator.comparing((TargetHandle handle) -> !handle.suspicion().isGone(nowMs))
+                .thenComparingLong(TargetHandle::provenTerm)
+                .thenComparingLong(TargetHandle::claimedAtRevision));
   }
 
   /**
