Lead callers away from isolated VMs, refuse at once, and start in half the time

Changes: (1) a VM that reaches neither the store nor any primary is not ready and closes resting sessions; (2) such statements are refused with the time to come back; (3) VMs that have not voted count against a promotion until the primary's registration lapses too; (4) events go to a bounded writer of our own, and sessions wait for the configuration.

--- a/common/src/main/java/io/lycheejunction/common/log/EventLog.java
+++ b/common/src/main/java/io/lycheejunction/common/log/EventLog.java
@@ -1,16 +1,33 @@
 package io.lycheejunction.common.log;
 
+import java.util.Optional;
 import org.apache.logging.log4j.Level;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.apache.logging.log4j.message.StringMapMessage;
 
-/** Writes events as one line of key=value pairs each. */
+/**
+ * Writes events as one line of key=value pairs each.
+ *
+ * <p>Events go to Log4j, or to the sink that the program has installed before.
+ */
 public final class EventLog {
-  private final Logger logger;
+  private static volatile Optional<EventSink> sink = Optional.empty();
 
-  private EventLog(Logger logger) {
-    this.logger = logger;
+  private final Class<?> owner;
+  private volatile Logger logger;
+
+  private EventLog(Class<?> owner) {
+    this.owner = owner;
+  }
+
+  /**
+   * Sends all later events of the program to a sink.
+   *
+   * @param replacement the sink
+   */
+  public static void install(EventSink replacement) {
+    sink = Optional.of(replacement);
   }
 
   /**
@@ -20,7 +37,7 @@
    * @return the log
    */
   public static EventLog of(Class<?> owner) {
-    return new EventLog(LogManager.getLogger(owner));
+    return new EventLog(owner);
   }
 
   /**
@@ -54,7 +71,13 @@
   }
 
   private void write(Level level, String event, Object... keysAndValues) {
-    if (!logger.isEnabled(level)) {
+    if (sink.isPresent()) {
+      if (level.isMoreSpecificThan(Level.INFO)) {
+        sink.get().write(level, owner.getSimpleName(), event, keysAndValues);
+      }
+      return;
+    }
+    if (!logger().isEnabled(level)) {
       return;
     }
     StringMapMessage message = new StringMapMessage();
@@ -62,6 +85,13 @@
     for (int i = 0; i + 1 < keysAndValues.length; i += 2) {
       message.with(String.valueOf(keysAndValues[i]), String.valueOf(keysAndValues[i + 1]));
     }
-    logger.log(level, message);
+    logger().log(level, message);
+  }
+
+  private Logger logger() {
+    if (logger == null) {
+      logger = LogManager.getLogger(owner);
+    }
+    return logger;
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -6,6 +6,7 @@
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
 import java.util.Objects;
+import java.util.Optional;
 
 /**
  * What the running of statements shares.
@@ -35,6 +36,9 @@
   /** The hint of a refusal for lack of room, in milliseconds. */
   static final long BUSY_RETRY_MS = 60;
 
+  /** How long a target may take to begin a transaction, which costs it no work. */
+  static final long BEGIN_TIMEOUT_MS = 500;
+
   /** Rejects null components. */
   public Dispatch {
     Objects.requireNonNull(scheduler, "scheduler is null");
@@ -46,6 +50,18 @@
     Objects.requireNonNull(journal, "journal is null");
   }
 
+  /**
+   * Returns the primary of a service, unless it does not answer.
+   *
+   * @param service the service
+   * @return the primary, or empty if statements can't be sent to it now
+   */
+  Optional<TargetHandle> usablePrimaryOf(String service) {
+    return targets
+        .primaryOf(service)
+        .filter(handle -> !handle.suspicion().isGone(scheduler.nowMs()));
+  }
+
   /**
    * Records what a target's refusal says about it.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
@@ -115,6 +115,15 @@
         work.session(),
         TargetCommand.own(new CallerStatement.Begin(false)),
         result -> onBegun(granted, result));
+    dispatch
+        .scheduler()
+        .schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
+  }
+
+  private void onBeginOverdue(PooledLink used) {
+    if (link == used && !sent) {
+      used.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered"));
+    }
   }
 
   private void onNoLink(Fault fault) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Placement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Placement.java
@@ -9,7 +9,7 @@
 
 /** Chooses the target of a read among those whose log may be fresh enough. */
 public final class Placement {
-  private static final double OTHER_DOMAIN_COST_MS = 12;
+  private static final double OTHER_DOMAIN_COST_MS = 90;
   private static final double PRIMARY_COST_MS = 25;
   private static final double AVOIDED_COST_MS = 10_000;
   private static final double BEHIND_COST_MS = 5_000;
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -146,8 +146,7 @@
       return dispatch.placement().choose(service, floor.get(), tried, now());
     }
     return dispatch
-        .targets()
-        .primaryOf(service)
+        .usablePrimaryOf(service)
         .filter(handle -> !tried.contains(handle.target().id()));
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -149,8 +149,7 @@
         floor.isPresent()
             ? dispatch.placement().choose(route.service(), floor.get(), tried, now())
             : dispatch
-                .targets()
-                .primaryOf(route.service())
+                .usablePrimaryOf(route.service())
                 .filter(handle -> !tried.contains(handle.target().id()));
     if (chosen.isEmpty()) {
       waitForPrimary();
@@ -218,6 +217,9 @@
         new TargetCommand.Run(
             Optional.empty(), floor, new CallerStatement.Begin(floor.isPresent()));
     granted.run(run.work.session(), begin, result -> onBegun(granted, result));
+    dispatch
+        .scheduler()
+        .schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
   }
 
   private void onRefused(Fault fault) {
@@ -225,6 +227,12 @@
     retryBegin(fault);
   }
 
+  private void onBeginOverdue(PooledLink used) {
+    if (link == used && !begun) {
+      used.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered"));
+    }
+  }
+
   private void onBegun(PooledLink used, LinkResult result) {
     if (link != used) {
       return;
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverBoard.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverBoard.java
@@ -41,6 +41,20 @@
    */
   List<Vote> votes(String service);
 
+  /**
+   * Returns the number of VMs that have shown themselves lately.
+   *
+   * @return the number
+   */
+  int vmCount();
+
+  /**
+   * Returns whether the store answered the last call.
+   *
+   * @return true if so
+   */
+  boolean isReachable();
+
   /**
    * Returns the lease of a service as this VM last saw it.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.gateway.failover;
 
+import io.lycheejunction.common.log.EventLog;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -7,10 +8,14 @@
 public final class PrimaryWatch {
   private static final long CALM_MS = 200;
   private static final long SOON_MS = 40;
+  private static final long ISOLATED_MS = 400;
+  private static final long NOT_ISOLATED = Long.MAX_VALUE;
+  private static final EventLog LOG = EventLog.of(PrimaryWatch.class);
 
   private final Failover failover;
   private final Map<String, ServiceWatch> watches = new HashMap<>();
   private boolean lookSoon;
+  private long isolatedSinceMs = NOT_ISOLATED;
 
   /**
    * Creates a watch that does not run yet.
@@ -35,6 +40,29 @@
       lookSoon |= watch.look();
     }
     watches.keySet().retainAll(failover.targets().services());
+    noteIsolation();
+  }
+
+  /**
+   * Returns whether this VM reaches neither the store nor any primary, while others may.
+   *
+   * @return true if callers are served better elsewhere
+   */
+  public boolean isIsolated() {
+    return isolatedSinceMs != NOT_ISOLATED
+        && failover.scheduler().nowMs() - isolatedSinceMs >= ISOLATED_MS;
+  }
+
+  private void noteIsolation() {
+    boolean isolated =
+        !watches.isEmpty()
+            && !failover.board().isReachable()
+            && watches.values().stream().noneMatch(ServiceWatch::reachesPrimary);
+    if (isolated == (isolatedSinceMs != NOT_ISOLATED)) {
+      return;
+    }
+    isolatedSinceMs = isolated ? failover.scheduler().nowMs() : NOT_ISOLATED;
+    LOG.info("isolation", "isolated", isolated);
   }
 
   private void lookAndRepeat() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.failover.PreVote;
 import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.gateway.link.LinkReply;
@@ -21,12 +22,17 @@
 /** Watches the primary of one service, and starts to replace it when it is gone or leaves. */
 final class ServiceWatch {
   private static final EventLog LOG = EventLog.of(ServiceWatch.class);
-  private static final long PROBE_INTERVAL_MS = 600;
+  private static final long PROBE_INTERVAL_MS = 1_000;
   private static final long PROBE_TIMEOUT_MS = 900;
   private static final long DOUBT_INTERVAL_MS = 100;
   private static final long REPEAT_VOTE_MS = 1_000;
   private static final long LEAVING_SPREAD_MS = 300;
   private static final long ASK_INTERVAL_MS = 300;
+
+  /** How long VMs that still reach the primary have to say so, in milliseconds. */
+  private static final long OBJECTION_MS = 150;
+
+  private static final long FRESH_ANSWER_MS = 250;
   private static final long ASK_TIMEOUT_MS = 250;
 
   private final Failover failover;
@@ -62,8 +68,12 @@
       return true;
     }
     boolean gone = handle.suspicion().isGone(now());
-    voteOn(handle.target().id(), gone);
+    voteOn(handle, gone);
     if (gone) {
+      handle
+          .pool()
+          .refuseWaiting(
+              Fault.of(ResultCode.TARGET_UNREACHABLE, "the primary does not answer"));
       decide(handle.target().id(), primary);
       return true;
     }
@@ -71,6 +81,15 @@
     return handle.suspicion().isDoubtful(now());
   }
 
+  /** Returns whether the primary is known and answers. */
+  boolean reachesPrimary() {
+    return failover
+        .targets()
+        .primaryOf(service)
+        .filter(handle -> !handle.suspicion().isGone(now()))
+        .isPresent();
+  }
+
   private void notePrimary(Optional<TargetHandle> primary) {
     Optional<String> id = primary.map(handle -> handle.target().id());
     if (id.isPresent() && !id.equals(lastPrimary)) {
@@ -131,7 +150,8 @@
             });
   }
 
-  private void voteOn(String primary, boolean gone) {
+  private void voteOn(TargetHandle handle, boolean gone) {
+    String primary = handle.target().id();
     boolean asked =
         failover.board().votes(service).stream()
             .anyMatch(
@@ -139,8 +159,12 @@
                     vote.primary().equals(primary)
                         && vote.gone()
                         && !vote.vm().equals(failover.vm()));
-    if (gone || asked || lastVote.equals(Optional.of(true))) {
+    if (gone || lastVote.equals(Optional.of(true))) {
       vote(primary, gone);
+    } else if (asked && now() - handle.lastAnswerMs() <= FRESH_ANSWER_MS) {
+      vote(primary, false);
+    } else if (asked) {
+      probe(handle);
     }
   }
 
@@ -163,9 +187,20 @@
             .map(target -> target.target().failureDomain())
             .collect(Collectors.toSet());
     List<Vote> votes = failover.board().votes(service);
-    if (Judgement.of(domains, primary, votes) == PreVote.Outcome.GRANTED) {
-      startOnceAfter(0, "gone", handle, false);
+    if (Judgement.of(domains, primary, votes, silentVms(primary, votes))
+        == PreVote.Outcome.GRANTED) {
+      startOnceAfter(OBJECTION_MS, "gone", handle, false);
+    } else {
+      startableFromMs = Long.MIN_VALUE;
+    }
+  }
+
+  private int silentVms(String primary, List<Vote> votes) {
+    if (failover.targets().find(primary).isEmpty() || failover.targets().isMissing(primary)) {
+      return 0;
     }
+    long voted = votes.stream().filter(vote -> vote.primary().equals(primary)).count();
+    return Math.max(0, failover.board().vmCount() - (int) voted);
   }
 
   private void startOnceAfter(
@@ -194,7 +229,13 @@
     long proofAgeMs = failover.positions().of(service).newestAgeMs(now());
     boolean due = doubtful || proofAgeMs > PROBE_INTERVAL_MS;
     long pauseMs = doubtful ? DOUBT_INTERVAL_MS : PROBE_INTERVAL_MS;
-    if (due && !probing && now() - lastProbeMs >= pauseMs) {
+    if (due && now() - lastProbeMs >= pauseMs) {
+      probe(handle);
+    }
+  }
+
+  private void probe(TargetHandle handle) {
+    if (!probing) {
       probing = true;
       lastProbeMs = now();
       handle.pool().acquire(new Probe(handle));
@@ -245,7 +286,7 @@
                 if (probing && lastProbeMs == askedMs) {
                   link.abandon(
                       Fault.of(
-                          io.lycheejunction.core.result.ResultCode.TARGET_UNREACHABLE,
+                          ResultCode.TARGET_UNREACHABLE,
                           "no answer to a probe"));
                 }
               });
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -96,6 +96,15 @@
     requests.remove(request);
   }
 
+  /**
+   * Refuses all requests that wait for a connection.
+   *
+   * @param fault why
+   */
+  public void refuseWaiting(Fault fault) {
+    refuseAll(fault);
+  }
+
   /**
    * Returns the number of requests that wait or hold a connection.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -84,6 +84,10 @@
     }
   }
 
+  boolean isEnded() {
+    return closed;
+  }
+
   /**
    * Returns whether the session can be closed without harm: nothing runs and no transaction is
    * open.
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -8,6 +8,7 @@
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.route.RouteTable;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
@@ -17,7 +18,15 @@
 public final class Gateway {
   private static final EventLog LOG = EventLog.of(Gateway.class);
 
+  /** How long a caller waits for the first configuration; callers give up after two seconds. */
+  private static final long CONFIGURATION_WAIT_MS = 1_500;
+
+  private static final int MAX_WAITING = 2_000;
+
+  private record Waiting(CallerSession session, CallerLink link, String database) {}
+
   private final Dispatch dispatch;
+  private final Set<Waiting> waiting = new LinkedHashSet<>();
   private final Set<CallerSession> sessions = new HashSet<>();
   private RouteTable routes = RouteTable.empty();
   private boolean closing;
@@ -39,13 +48,8 @@
    * @return the session, or empty if it was rejected
    */
   public Optional<CallerSession> open(CallerLink link, String database) {
-    if (routes.isEmpty()) {
-      link.reject(
-          new Fault(
-              ResultCode.NO_PRIMARY,
-              "no configuration is known yet",
-              Dispatch.NO_PRIMARY_RETRY_MS));
-      return Optional.empty();
+    if (!isReady()) {
+      return waitForConfiguration(link, database);
     }
     if (route(database).isEmpty()) {
       link.reject(unknownDatabase(database));
@@ -57,6 +61,62 @@
     return Optional.of(session);
   }
 
+  /**
+   * Returns whether the configuration and the targets are known.
+   *
+   * @return true if statements can be served
+   */
+  public boolean isReady() {
+    return !routes.isEmpty() && !dispatch.targets().isEmpty();
+  }
+
+  /** Accepts the sessions that wait for the configuration and the targets, if both are known. */
+  public void acceptWaiting() {
+    if (!isReady()) {
+      return;
+    }
+    List<Waiting> accepted = List.copyOf(waiting);
+    waiting.clear();
+    accepted.forEach(this::accept);
+  }
+
+  private void accept(Waiting entry) {
+    if (entry.session().isEnded()) {
+      return;
+    }
+    if (route(entry.database()).isEmpty()) {
+      entry.link().reject(unknownDatabase(entry.database()));
+      return;
+    }
+    sessions.add(entry.session());
+    entry.link().accept();
+  }
+
+  private Optional<CallerSession> waitForConfiguration(CallerLink link, String database) {
+    Fault fault =
+        new Fault(
+            ResultCode.NO_PRIMARY,
+            "no configuration is known yet",
+            Dispatch.NO_PRIMARY_RETRY_MS);
+    if (waiting.size() >= MAX_WAITING) {
+      link.reject(fault);
+      return Optional.empty();
+    }
+    CallerSession session = new CallerSession(this, link, database);
+    Waiting entry = new Waiting(session, link, database);
+    waiting.add(entry);
+    dispatch
+        .scheduler()
+        .schedule(
+            CONFIGURATION_WAIT_MS,
+            () -> {
+              if (waiting.remove(entry) && !session.isEnded()) {
+                link.reject(fault);
+              }
+            });
+    return Optional.of(session);
+  }
+
   /**
    * Puts a configuration in force, unless a newer one is.
    *
@@ -77,6 +137,7 @@
         table.routes().size());
     routes = table;
     dispatch.journal().configuration(table.version());
+    acceptWaiting();
     return true;
   }
 
@@ -101,6 +162,11 @@
   /** Closes each session as soon as it is at rest. */
   public void closeSessions() {
     closing = true;
+    closeResting();
+  }
+
+  /** Closes the sessions that are at rest now. */
+  public void closeResting() {
     List.copyOf(sessions).stream().filter(CallerSession::isAtRest).forEach(CallerSession::close);
   }
 
