--- a/common/src/main/java/io/lycheejunction/common/log/BoundedLineWriter.java
+++ b/common/src/main/java/io/lycheejunction/common/log/BoundedLineWriter.java
@@ -11,8 +11,8 @@
  * Writes events as lines of key=value pairs on a thread of its own.
  *
  * <p>Callers never wait: lines that find the buffer full are dropped, and their number is written
- * once there is room again. The thread writes what has gathered, at most every {@value
- * #GATHER_MS} ms.
+ * once there is room again. The thread writes what has gathered, at most every {@value #GATHER_MS}
+ * ms.
  */
 public final class BoundedLineWriter implements EventSink {
   /** How long lines gather before they are written, in milliseconds. */
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
@@ -115,9 +115,7 @@
         work.session(),
         TargetCommand.own(new CallerStatement.Begin(false)),
         result -> onBegun(granted, result));
-    dispatch
-        .scheduler()
-        .schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
+    dispatch.scheduler().schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
   }
 
   private void onBeginOverdue(PooledLink used) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -217,9 +217,7 @@
         new TargetCommand.Run(
             Optional.empty(), floor, new CallerStatement.Begin(floor.isPresent()));
     granted.run(run.work.session(), begin, result -> onBegun(granted, result));
-    dispatch
-        .scheduler()
-        .schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
+    dispatch.scheduler().schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
   }
 
   private void onRefused(Fault fault) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Judgement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Judgement.java
@@ -27,7 +27,8 @@
    * @param silentVms the VMs that have not voted but may still reach the primary
    * @return the outcome
    */
-  public static PreVote.Outcome of(Set<String> domains, String primary, List<Vote> votes, int silentVms) {
+  public static PreVote.Outcome of(
+      Set<String> domains, String primary, List<Vote> votes, int silentVms) {
     Map<String, Integer> balance = new HashMap<>();
     int total = 0;
     for (Vote vote : votes) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -72,8 +72,7 @@
     if (gone) {
       handle
           .pool()
-          .refuseWaiting(
-              Fault.of(ResultCode.TARGET_UNREACHABLE, "the primary does not answer"));
+          .refuseWaiting(Fault.of(ResultCode.TARGET_UNREACHABLE, "the primary does not answer"));
       decide(handle.target().id(), primary);
       return true;
     }
@@ -142,9 +141,12 @@
             leader -> {
               LOG.info(
                   "primary_asked",
-                  "service", service,
-                  "target", leader.handle().target().id(),
-                  "term", leader.term());
+                  "service",
+                  service,
+                  "target",
+                  leader.handle().target().id(),
+                  "term",
+                  leader.term());
               leader.handle().leads(leader.term());
               look();
             });
@@ -284,10 +286,7 @@
               PROBE_TIMEOUT_MS,
               () -> {
                 if (probing && lastProbeMs == askedMs) {
-                  link.abandon(
-                      Fault.of(
-                          ResultCode.TARGET_UNREACHABLE,
-                          "no answer to a probe"));
+                  link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "no answer to a probe"));
                 }
               });
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -95,9 +95,7 @@
   private Optional<CallerSession> waitForConfiguration(CallerLink link, String database) {
     Fault fault =
         new Fault(
-            ResultCode.NO_PRIMARY,
-            "no configuration is known yet",
-            Dispatch.NO_PRIMARY_RETRY_MS);
+            ResultCode.NO_PRIMARY, "no configuration is known yet", Dispatch.NO_PRIMARY_RETRY_MS);
     if (waiting.size() >= MAX_WAITING) {
       link.reject(fault);
       return Optional.empty();
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.failover.Suspicion;
 import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.pool.TargetPool;
 
@@ -128,12 +129,18 @@
   }
 
   /**
-   * Records that no connection could be opened.
+   * Records that a connection could not be opened.
    *
+   * @param fault why
    * @param nowMs the present time, in milliseconds
    */
-  public void unreachable(long nowMs) {
-    suspicion = suspicion.refusedAt(nowMs);
+  public void connectFailed(Fault fault, long nowMs) {
+    failed(fault, nowMs);
+    boolean absent =
+        fault.code() == ResultCode.TARGET_UNREACHABLE || fault.code() == ResultCode.WRONG_TARGET;
+    if (absent) {
+      suspicion = suspicion.refusedAt(nowMs);
+    }
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -1,6 +1,8 @@
 package io.lycheejunction.gateway.target;
 
 import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.gateway.link.TargetLinks;
 import io.lycheejunction.gateway.pool.TargetPool;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.ArrayList;
@@ -12,7 +14,6 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.BiFunction;
 
 /**
  * All registered targets.
@@ -25,9 +26,10 @@
   public static final long LAPSED_MS = 2_500;
 
   private static final EventLog LOG = EventLog.of(Targets.class);
+  private static final int MIN_LINKS = 3;
 
   private final Scheduler scheduler;
-  private final BiFunction<Targets, Target, TargetPool> pools;
+  private final TargetLinks links;
   private final Map<String, Long> missingSinceMs = new HashMap<>();
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
@@ -36,11 +38,11 @@
    * Creates a directory without targets.
    *
    * @param scheduler the gateway's clock
-   * @param pools makes the pool of a new target
+   * @param links opens connections to targets
    */
-  public Targets(Scheduler scheduler, BiFunction<Targets, Target, TargetPool> pools) {
+  public Targets(Scheduler scheduler, TargetLinks links) {
     this.scheduler = scheduler;
-    this.pools = pools;
+    this.links = links;
   }
 
   /**
@@ -163,7 +165,7 @@
     if (known != null) {
       retire(target.id(), "replaced");
     }
-    byId.put(target.id(), new TargetHandle(target, pools.apply(this, target), scheduler.nowMs()));
+    byId.put(target.id(), newHandle(target));
     LOG.info(
         "target_found",
         "target",
@@ -178,6 +180,18 @@
         target.revision());
   }
 
+  private TargetHandle newHandle(Target target) {
+    int maxLinks = Math.max(MIN_LINKS, target.slots());
+    TargetPool pool =
+        new TargetPool(
+            target, links, scheduler, maxLinks, fault -> onConnectFault(target.id(), fault));
+    return new TargetHandle(target, pool, scheduler.nowMs());
+  }
+
+  private void onConnectFault(String id, Fault fault) {
+    find(id).ifPresent(handle -> handle.connectFailed(fault, scheduler.nowMs()));
+  }
+
   private static void logChange(Target before, Target after) {
     if (before.leaving() != after.leaving() || before.claimsPrimary() != after.claimsPrimary()) {
       LOG.info(
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
@@ -0,0 +1,130 @@
+package io.lycheejunction.gateway.link;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.target.Target;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** Connections whose targets are played by a test. */
+public final class FakeLinks implements TargetLinks {
+
+  /** One connection; commands wait in {@code sent} until the test answers them. */
+  public static final class FakeLink implements TargetLink {
+    private final Target target;
+    private final Listener listener;
+    private final List<TargetCommand> sent = new ArrayList<>();
+    private boolean closed;
+
+    private FakeLink(Target target, Listener listener) {
+      this.target = target;
+      this.listener = listener;
+    }
+
+    /** Returns the identifier of the target. */
+    public String targetId() {
+      return target.id();
+    }
+
+    /** Returns the commands that have no answer yet. */
+    public List<TargetCommand> sent() {
+      return sent;
+    }
+
+    /** Returns whether the gateway has closed the connection. */
+    public boolean isClosed() {
+      return closed;
+    }
+
+    @Override
+    public void send(List<TargetCommand> commands) {
+      sent.addAll(commands);
+    }
+
+    @Override
+    public void close() {
+      closed = true;
+    }
+
+    /** Accepts the connection. */
+    public FakeLink greet() {
+      listener.opened(reply(TransactionState.NONE, new LogPosition(1, 1)));
+      return this;
+    }
+
+    /** Rejects the connection. */
+    public void reject(ResultCode code) {
+      listener.opened(faulty(code, TransactionState.NONE));
+    }
+
+    /** Answers the oldest command. */
+    public TargetCommand answer(LinkReply reply) {
+      TargetCommand command = sent.removeFirst();
+      listener.replied(reply);
+      return command;
+    }
+
+    /** Answers the oldest command with success. */
+    public TargetCommand done(TransactionState state, long term, long offset) {
+      return answer(reply(state, new LogPosition(term, offset)));
+    }
+
+    /** Answers the oldest command with a fault. */
+    public TargetCommand fault(ResultCode code, TransactionState state) {
+      return answer(faulty(code, state));
+    }
+
+    /** Ends the connection from the target's side. */
+    public void drop() {
+      closed = true;
+      listener.closed(Fault.of(ResultCode.TARGET_UNREACHABLE, "dropped"));
+    }
+
+    private static LinkReply reply(TransactionState state, LogPosition position) {
+      return new LinkReply(
+          List.of("row"), Optional.of("signature"), Optional.empty(), state, Optional.of(position));
+    }
+
+    private static LinkReply faulty(ResultCode code, TransactionState state) {
+      return new LinkReply(
+          List.of(),
+          Optional.empty(),
+          Optional.of(Fault.of(code, "told by the target")),
+          state,
+          Optional.empty());
+    }
+  }
+
+  private final List<FakeLink> opened = new ArrayList<>();
+
+  @Override
+  public TargetLink open(Target target, Listener listener) {
+    FakeLink link = new FakeLink(target, listener);
+    opened.add(link);
+    return link;
+  }
+
+  @Override
+  public Optional<StatusReport> statusOf(LinkReply reply) {
+    return reply.position().map(position -> new StatusReport(false, position.term(), position, 1));
+  }
+
+  /** Returns all connections, in the order in which they were opened. */
+  public List<FakeLink> opened() {
+    return opened;
+  }
+
+  /** Returns the connections to a target that the gateway has not closed. */
+  public List<FakeLink> to(String targetId) {
+    return opened.stream()
+        .filter(link -> link.targetId().equals(targetId) && !link.isClosed())
+        .toList();
+  }
+
+  /** Returns the newest connection to a target. */
+  public FakeLink last(String targetId) {
+    return to(targetId).getLast();
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -0,0 +1,233 @@
+package io.lycheejunction.gateway.pool;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.statement.PreparedShape;
+import io.lycheejunction.core.statement.SessionState;
+import io.lycheejunction.gateway.link.FakeLinks;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.schedule.ManualScheduler;
+import io.lycheejunction.gateway.target.TestTargets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class TargetPoolTest {
+
+  /** Remembers what it was told. */
+  private static final class Wish implements LinkRequest {
+    private final SessionState session;
+    private final int priority;
+    private final List<PooledLink> granted = new ArrayList<>();
+    private final List<Fault> refused = new ArrayList<>();
+
+    private Wish(SessionState session, int priority) {
+      this.session = session;
+      this.priority = priority;
+    }
+
+    @Override
+    public SessionState session() {
+      return session;
+    }
+
+    @Override
+    public int priority() {
+      return priority;
+    }
+
+    @Override
+    public long untilMs() {
+      return Long.MAX_VALUE;
+    }
+
+    @Override
+    public void granted(PooledLink link) {
+      granted.add(link);
+    }
+
+    @Override
+    public void refused(Fault fault) {
+      refused.add(fault);
+    }
+  }
+
+  private static final SessionState ALICE = SessionState.empty().withValue("user", "alice");
+  private static final SessionState BOB = SessionState.empty().withValue("user", "bob");
+
+  private final ManualScheduler scheduler = new ManualScheduler();
+  private final FakeLinks links = new FakeLinks();
+  private final List<Fault> connectFaults = new ArrayList<>();
+  private final TargetPool pool =
+      new TargetPool(TestTargets.target("i-1", true, 1), links, scheduler, 2, connectFaults::add);
+
+  private Wish ask(SessionState session, int priority) {
+    Wish wish = new Wish(session, priority);
+    pool.acquire(wish);
+    return wish;
+  }
+
+  private static TargetCommand read() {
+    return new TargetCommand.Run(Optional.of("r"), Optional.empty(), new CallerStatement.Read("x"));
+  }
+
+  private PooledLink open(SessionState session) {
+    Wish wish = ask(session, 0);
+    links.last("i-1").greet();
+    return wish.granted.getFirst();
+  }
+
+  @Test
+  void shouldOpenConnectionsUpToItsLimitWhenAllAreBusy() {
+    ask(ALICE, 0);
+    ask(ALICE, 0);
+    ask(ALICE, 0);
+
+    assertEquals(2, links.opened().size());
+    assertEquals(3, pool.load());
+  }
+
+  @Test
+  void shouldServeTheMostUrgentRequestFirstWhenAConnectionComesFree() {
+    final PooledLink first = open(ALICE);
+    open(ALICE);
+    Wish patient = ask(ALICE, 2);
+    Wish urgent = ask(ALICE, 1);
+
+    first.release();
+
+    assertEquals(1, urgent.granted.size());
+    assertTrue(patient.granted.isEmpty());
+  }
+
+  @Test
+  void shouldPreferAConnectionThatIsSetUpForTheSessionWhenSeveralAreIdle() {
+    PooledLink forAlice = open(ALICE);
+    PooledLink forBob = open(BOB);
+    forAlice.run(ALICE, read(), result -> {});
+    forBob.run(BOB, read(), result -> {});
+    for (FakeLinks.FakeLink link : links.opened()) {
+      link.done(TransactionState.NONE, 1, 1);
+      link.done(TransactionState.NONE, 1, 1);
+    }
+    forAlice.release();
+    forBob.release();
+
+    assertEquals(List.of(forAlice), ask(ALICE, 0).granted);
+  }
+
+  @Test
+  void shouldResetTheConnectionWhenItHasValuesThatTheSessionLacks() {
+    PooledLink link = open(ALICE);
+    link.run(ALICE, read(), result -> {});
+    links.last("i-1").done(TransactionState.NONE, 1, 1);
+    links.last("i-1").done(TransactionState.NONE, 1, 1);
+
+    link.run(SessionState.empty(), read(), result -> {});
+
+    assertEquals(List.of(new TargetCommand.Reset(), read()), List.copyOf(links.last("i-1").sent()));
+  }
+
+  @Test
+  void shouldPrepareEqualShapesOnceWhenSessionsUseTheSameName() {
+    PooledLink link = open(ALICE);
+    PreparedShape reads = new PreparedShape(false, "q");
+    PreparedShape writes = new PreparedShape(true, "q");
+    PreparedCommand command = new PreparedCommand("r", Optional.empty(), "x", false);
+
+    link.runPrepared(SessionState.empty(), reads, command, result -> {});
+    link.runPrepared(SessionState.empty(), writes, command, result -> {});
+    link.runPrepared(SessionState.empty(), reads, command, result -> {});
+
+    long prepared =
+        links.last("i-1").sent().stream()
+            .filter(
+                sent ->
+                    sent instanceof TargetCommand.Run run
+                        && run.statement() instanceof CallerStatement.Prepare)
+            .count();
+    assertEquals(2, prepared);
+  }
+
+  @Test
+  void shouldCloseTheConnectionWhenSettingItUpFails() {
+    PooledLink link = open(ALICE);
+    List<LinkResult> results = new ArrayList<>();
+    link.run(ALICE, read(), results::add);
+
+    links.last("i-1").fault(ResultCode.STATEMENT_FAILED, TransactionState.NONE);
+
+    assertTrue(links.opened().getFirst().isClosed());
+    assertTrue(results.getFirst() instanceof LinkResult.Lost);
+  }
+
+  @Test
+  void shouldKeepAReleasedConnectionAsideWhenACommandIsStillUnanswered() {
+    PooledLink link = open(ALICE);
+    link.runAndRollBack(SessionState.empty(), read(), result -> {});
+    links.last("i-1").done(TransactionState.OPEN, 1, 1);
+    link.release();
+
+    Wish next = ask(SessionState.empty(), 0);
+    assertTrue(next.granted.isEmpty());
+
+    links.opened().getFirst().done(TransactionState.NONE, 1, 1);
+    assertEquals(List.of(link), next.granted);
+  }
+
+  @Test
+  void shouldRefuseWaitingRequestsWhenTheOnlyConnectionCannotBeOpened() {
+    Wish wish = ask(ALICE, 0);
+
+    links.last("i-1").drop();
+
+    assertEquals(ResultCode.TARGET_UNREACHABLE, wish.refused.getFirst().code());
+    assertEquals(1, connectFaults.size());
+  }
+
+  @Test
+  void shouldReportAnUnreachableTargetWhenItsGreetingDoesNotCome() {
+    Wish wish = ask(ALICE, 0);
+
+    scheduler.advanceMs(TargetPool.OPEN_TIMEOUT_MS);
+
+    assertEquals(1, wish.refused.size());
+    assertTrue(links.opened().getFirst().isClosed());
+  }
+
+  @Test
+  void shouldNotGrowForAWhileWhenTheTargetHasNoRoomForConnections() {
+    open(ALICE);
+    ask(ALICE, 0);
+    links.opened().getLast().reject(ResultCode.TARGET_CONNECTIONS_FULL);
+
+    ask(ALICE, 0);
+    assertEquals(2, links.opened().size());
+
+    scheduler.advanceMs(TargetPool.FULL_PAUSE_MS);
+    ask(ALICE, 0);
+    assertEquals(3, links.opened().size());
+  }
+
+  @Test
+  void shouldCloseIdleConnectionsAtOnceAndBusyOnesLaterWhenRetired() {
+    PooledLink busy = open(ALICE);
+    final PooledLink idle = open(ALICE);
+    idle.release();
+
+    pool.retire();
+    assertFalse(links.opened().getFirst().isClosed());
+    assertTrue(links.opened().getLast().isClosed());
+
+    busy.release();
+    assertTrue(links.opened().getFirst().isClosed());
+    assertEquals(ResultCode.TARGET_LEAVING, ask(ALICE, 0).refused.getFirst().code());
+  }
+}
