Judge a primary by the failure domains that have VMs, and test the platform's way

Cause: a test with one VM showed that a crashed primary was never replaced where VMs are in fewer failure domains than targets, since domains without VMs can't vote.

Change: the electorate is the failure domains of the VMs that have shown themselves lately; one voice is enough once the primary's registration has disappeared too. A target whose registration does not come back leaves first and is dropped later, so that a primary that still answers steps down before its successor leads.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Placement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Placement.java
@@ -41,7 +41,7 @@
       String service, LogPosition floor, Set<String> tried, long nowMs) {
     Optional<TargetHandle> primary = targets.primaryOf(service);
     return targets.of(service).stream()
-        .filter(handle -> !handle.target().leaving())
+        .filter(handle -> !targets.isLeaving(handle))
         .filter(handle -> !tried.contains(handle.target().id()))
         .min(Comparator.comparingDouble(handle -> costMs(handle, primary, floor, nowMs)));
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverBoard.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverBoard.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 
@@ -42,11 +43,11 @@
   List<Vote> votes(String service);
 
   /**
-   * Returns the number of VMs that have shown themselves lately.
+   * Returns the VMs that have shown themselves lately.
    *
-   * @return the number
+   * @return the failure domain of each VM, by its name
    */
-  int vmCount();
+  Map<String, String> presentVms();
 
   /**
    * Returns whether the store answered the last call.
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -132,7 +132,9 @@
     List<TargetHandle> candidates = new ArrayList<>();
     for (TargetHandle handle : failover.targets().of(service)) {
       boolean isPrevious = previous.isPresent() && previous.get() == handle;
-      if (!isPrevious && !handle.target().leaving() && !rejected.contains(handle.target().id())) {
+      if (!isPrevious
+          && !failover.targets().isLeaving(handle)
+          && !rejected.contains(handle.target().id())) {
         candidates.add(handle);
       }
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Judgement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Judgement.java
@@ -21,14 +21,15 @@
   /**
    * Returns what the votes decide.
    *
-   * @param domains the failure domains of the service's targets
+   * @param domains the failure domains that have VMs
    * @param primary the identifier of the primary in question
    * @param votes the votes of VMs
-   * @param silentVms the VMs that have not voted but may still reach the primary
+   * @param silentVms the VMs that have not voted
+   * @param registered whether the primary is still registered in the store
    * @return the outcome
    */
   public static PreVote.Outcome of(
-      Set<String> domains, String primary, List<Vote> votes, int silentVms) {
+      Set<String> domains, String primary, List<Vote> votes, int silentVms, boolean registered) {
     Map<String, Integer> balance = new HashMap<>();
     int total = 0;
     for (Vote vote : votes) {
@@ -38,6 +39,9 @@
         total += weight;
       }
     }
+    if (!registered) {
+      return total > 0 ? PreVote.Outcome.GRANTED : PreVote.Outcome.DENIED;
+    }
     if (total <= silentVms) {
       return PreVote.Outcome.DENIED;
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -14,10 +14,11 @@
 import io.lycheejunction.gateway.pool.PooledLink;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
-import java.util.stream.Collectors;
 
 /** Watches the primary of one service, and starts to replace it when it is gone or leaves. */
 final class ServiceWatch {
@@ -63,7 +64,7 @@
     }
     TargetHandle handle = primary.get();
     probeIfDue(handle);
-    if (handle.target().leaving()) {
+    if (failover.targets().isLeaving(handle)) {
       startOnceAfter(jitterMs, "leaving", primary, true);
       return true;
     }
@@ -184,27 +185,25 @@
   }
 
   private void decide(String primary, Optional<TargetHandle> handle) {
-    Set<String> domains =
-        failover.targets().of(service).stream()
-            .map(target -> target.target().failureDomain())
-            .collect(Collectors.toSet());
+    Map<String, String> vms = new HashMap<>(failover.board().presentVms());
+    vms.put(failover.vm(), failover.failureDomain());
     List<Vote> votes = failover.board().votes(service);
-    if (Judgement.of(domains, primary, votes, silentVms(primary, votes))
-        == PreVote.Outcome.GRANTED) {
+    votes.stream()
+        .filter(vote -> vote.primary().equals(primary))
+        .forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
+    long voted = votes.stream().filter(vote -> vote.primary().equals(primary)).count();
+    boolean registered =
+        failover.targets().find(primary).isPresent() && !failover.targets().isMissing(primary);
+    PreVote.Outcome outcome =
+        Judgement.of(
+            Set.copyOf(vms.values()), primary, votes, vms.size() - (int) voted, registered);
+    if (outcome == PreVote.Outcome.GRANTED) {
       startOnceAfter(OBJECTION_MS, "gone", handle, false);
     } else {
       startableFromMs = Long.MIN_VALUE;
     }
   }
 
-  private int silentVms(String primary, List<Vote> votes) {
-    if (failover.targets().find(primary).isEmpty() || failover.targets().isMissing(primary)) {
-      return 0;
-    }
-    long voted = votes.stream().filter(vote -> vote.primary().equals(primary)).count();
-    return Math.max(0, failover.board().vmCount() - (int) voted);
-  }
-
   private void startOnceAfter(
       long delayMs, String reason, Optional<TargetHandle> previous, boolean stepsDown) {
     if (startableFromMs == Long.MIN_VALUE) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -25,6 +25,12 @@
   /** How long a missing registration may come back, in milliseconds. */
   public static final long LAPSED_MS = 2_500;
 
+  /**
+   * When a target whose registration is missing is dropped, in milliseconds. A primary that still
+   * answers can be replaced without a loss until then.
+   */
+  public static final long DROPPED_MS = 5_000;
+
   private static final EventLog LOG = EventLog.of(Targets.class);
   private static final int MIN_LINKS = 3;
 
@@ -60,7 +66,7 @@
       if (!present.contains(id) && !missingSinceMs.containsKey(id)) {
         LOG.info("target_missing", "target", id);
         missingSinceMs.put(id, scheduler.nowMs());
-        scheduler.schedule(LAPSED_MS, this::dropMissing);
+        scheduler.schedule(DROPPED_MS, this::dropMissing);
       }
     }
     missingSinceMs.keySet().removeAll(present);
@@ -77,6 +83,18 @@
     return missingSinceMs.containsKey(id);
   }
 
+  /**
+   * Returns whether a target gets no new work, by its own word or since its registration did not
+   * come back.
+   *
+   * @param handle the target
+   * @return true if so
+   */
+  public boolean isLeaving(TargetHandle handle) {
+    Long sinceMs = missingSinceMs.get(handle.target().id());
+    return handle.target().leaving() || sinceMs != null && scheduler.nowMs() - sinceMs >= LAPSED_MS;
+  }
+
   /**
    * Returns the names of all services that have targets.
    *
@@ -87,7 +105,7 @@
   }
 
   private void dropMissing() {
-    long beforeMs = scheduler.nowMs() - LAPSED_MS;
+    long beforeMs = scheduler.nowMs() - DROPPED_MS;
     for (Map.Entry<String, Long> missing : Map.copyOf(missingSinceMs).entrySet()) {
       if (missing.getValue() <= beforeMs) {
         missingSinceMs.remove(missing.getKey());
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -0,0 +1,110 @@
+package io.lycheejunction.gateway.dispatch;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.statement.SessionState;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.link.FakeLinks;
+import io.lycheejunction.gateway.link.LinkReply;
+import io.lycheejunction.gateway.route.ReadRule;
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.schedule.ManualScheduler;
+import io.lycheejunction.gateway.target.Targets;
+import io.lycheejunction.gateway.target.TestTargets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+
+/** One group: i-1 leads, i-2 and i-3 are replicas; this VM is in the failure domain of i-2. */
+public final class DispatchFixture {
+
+  /** Remembers how a statement ended. */
+  public static final class Ending implements Completion {
+    private final List<LinkReply> replies = new ArrayList<>();
+    private final List<Fault> faults = new ArrayList<>();
+
+    @Override
+    public void done(LinkReply reply) {
+      replies.add(reply);
+    }
+
+    @Override
+    public void failed(Fault fault) {
+      faults.add(fault);
+    }
+
+    /** Returns whether nothing has been told yet. */
+    public boolean isOpen() {
+      return replies.isEmpty() && faults.isEmpty();
+    }
+
+    /** Returns whether the statement succeeded. */
+    public boolean isDone() {
+      return replies.size() == 1 && faults.isEmpty();
+    }
+
+    /** Returns the only fault. */
+    public Fault fault() {
+      if (faults.size() != 1 || !replies.isEmpty()) {
+        throw new AssertionError("replies " + replies + ", faults " + faults);
+      }
+      return faults.getFirst();
+    }
+  }
+
+  /** The time limit of statements, in milliseconds. */
+  public static final long TIMEOUT_MS = 1_000;
+
+  public final ManualScheduler scheduler = new ManualScheduler();
+  public final FakeLinks links = new FakeLinks();
+  public final Targets targets = new Targets(scheduler, links);
+  public final Positions positions = new Positions();
+  public final PrimaryGate gate = new PrimaryGate(scheduler);
+  public final Dispatch dispatch =
+      new Dispatch(
+          scheduler,
+          targets,
+          positions,
+          new Placement(targets, "domain-i-2"),
+          gate,
+          new Hedging(),
+          new StatementJournal(scheduler));
+
+  /** Registers the three targets. */
+  public DispatchFixture() {
+    targets.update(
+        List.of(
+            TestTargets.target("i-1", true, 1),
+            TestTargets.target("i-2", false, 2),
+            TestTargets.target("i-3", false, 3)));
+  }
+
+  /** Notes that the primary has shown a position just now. */
+  public void prove(long term, long offset) {
+    positions.of(TestTargets.SERVICE).record(scheduler.nowMs(), new LogPosition(term, offset));
+  }
+
+  /** Returns a statement on a route. */
+  public static Work work(ReadRule rule, CallerStatement statement) {
+    Route route = new Route("db", TestTargets.SERVICE, rule, TIMEOUT_MS, 200, 1);
+    return new Work(
+        "r-1", route, SessionState.empty(), LogPosition.ORIGIN, statement, Optional.empty());
+  }
+
+  /** Returns a read. */
+  public static CallerStatement read() {
+    return new CallerStatement.Read("x");
+  }
+
+  /** Returns a write. */
+  public static CallerStatement write() {
+    return new CallerStatement.Write("x 1");
+  }
+
+  /** Starts a single statement. */
+  public Ending run(ReadRule rule, CallerStatement statement) {
+    Ending ending = new Ending();
+    new SingleStatement(dispatch, work(rule, statement), ending).start();
+    return ending;
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
@@ -0,0 +1,183 @@
+package io.lycheejunction.gateway.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.dispatch.DispatchFixture.Ending;
+import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ReadRule;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class SingleStatementTest {
+  private static final ReadRule LATEST = new ReadRule.Latest();
+  private static final ReadRule AGED = new ReadRule.Aged(1_500);
+
+  private final DispatchFixture fixture = new DispatchFixture();
+
+  private static boolean isBegin(TargetCommand command) {
+    return command instanceof TargetCommand.Run run
+        && run.statement() instanceof CallerStatement.Begin;
+  }
+
+  private static boolean isCallersRead(TargetCommand command) {
+    return command instanceof TargetCommand.Run run
+        && run.requestId().equals(Optional.of("r-1"))
+        && run.statement() instanceof CallerStatement.Read;
+  }
+
+  @Test
+  void shouldReadAtTheReplicaOfItsDomainWithAFloorWhenAPositionIsProven() {
+    fixture.prove(1, 7);
+
+    Ending ending = fixture.run(AGED, DispatchFixture.read());
+    FakeLink link = fixture.links.last("i-2").greet();
+    TargetCommand.Run sent = (TargetCommand.Run) link.sent().getFirst();
+    assertEquals(Optional.of(new LogPosition(1, 7)), sent.after());
+
+    link.done(TransactionState.NONE, 1, 8);
+    assertTrue(ending.isDone());
+  }
+
+  @Test
+  void shouldTryAnotherTargetWhenAReplicaLags() {
+    fixture.prove(1, 7);
+    Ending ending = fixture.run(AGED, DispatchFixture.read());
+
+    fixture.links.last("i-2").greet().fault(ResultCode.NOT_FRESH, TransactionState.NONE);
+    fixture.links.last("i-3").greet().done(TransactionState.NONE, 1, 8);
+
+    assertTrue(ending.isDone());
+  }
+
+  @Test
+  void shouldReadInsideATransactionOfThePrimaryWhenNoPositionIsProven() {
+    Ending ending = fixture.run(AGED, DispatchFixture.read());
+
+    FakeLink link = fixture.links.last("i-1").greet();
+    assertEquals(1, link.sent().size());
+    assertTrue(isBegin(link.done(TransactionState.OPEN, 1, 9)));
+    assertTrue(isCallersRead(link.done(TransactionState.OPEN, 1, 9)));
+    assertTrue(ending.isDone());
+    assertEquals(
+        Optional.of(new LogPosition(1, 9)),
+        fixture.positions.of("ledger").floor(fixture.scheduler.nowMs(), 1_000, LogPosition.ORIGIN));
+  }
+
+  @Test
+  void shouldNotSendALatestReadWhenThePrimaryHasLostTheLead() {
+    Ending ending = fixture.run(LATEST, DispatchFixture.read());
+
+    FakeLink link = fixture.links.last("i-1").greet();
+    link.fault(ResultCode.NOT_PRIMARY, TransactionState.NONE);
+
+    assertTrue(link.sent().stream().noneMatch(SingleStatementTest::isCallersRead));
+    assertEquals(ResultCode.NOT_PRIMARY, ending.fault().code());
+  }
+
+  @Test
+  void shouldNotSendAWriteAgainWhenItsConnectionEnds() {
+    Ending ending = fixture.run(LATEST, DispatchFixture.write());
+    FakeLink link = fixture.links.last("i-1").greet();
+
+    link.drop();
+    fixture.scheduler.advanceMs(5_000);
+
+    assertEquals(ResultCode.UNKNOWN_OUTCOME, ending.fault().code());
+    assertEquals(1, fixture.links.opened().size());
+  }
+
+  @Test
+  void shouldCloseTheConnectionAndLeaveTheOutcomeOpenWhenAWriteIsNotAnswered() {
+    Ending ending = fixture.run(LATEST, DispatchFixture.write());
+    FakeLink link = fixture.links.last("i-1").greet();
+
+    fixture.scheduler.advanceMs(DispatchFixture.TIMEOUT_MS);
+
+    assertEquals(ResultCode.UNKNOWN_OUTCOME, ending.fault().code());
+    assertTrue(link.isClosed());
+  }
+
+  @Test
+  void shouldPassOnTheTargetsWordWhenAWriteFailed() {
+    Ending ending = fixture.run(LATEST, DispatchFixture.write());
+
+    fixture.links.last("i-1").greet().fault(ResultCode.STATEMENT_FAILED, TransactionState.NONE);
+
+    assertEquals(ResultCode.STATEMENT_FAILED, ending.fault().code());
+  }
+
+  @Test
+  void shouldReadElsewhereWhenAReadFailed() {
+    fixture.prove(1, 7);
+    Ending ending = fixture.run(AGED, DispatchFixture.read());
+
+    fixture.links.last("i-2").greet().fault(ResultCode.STATEMENT_FAILED, TransactionState.NONE);
+    fixture.links.last("i-3").greet().done(TransactionState.NONE, 1, 8);
+
+    assertTrue(ending.isDone());
+  }
+
+  @Test
+  void shouldReadBesideWhenTheFirstTargetIsOverdue() {
+    fixture.prove(1, 7);
+    Ending ending = fixture.run(AGED, DispatchFixture.read());
+    FakeLink slow = fixture.links.last("i-2").greet();
+
+    fixture.scheduler.advanceMs(200);
+    fixture.links.last("i-3").greet().done(TransactionState.NONE, 1, 8);
+    assertTrue(ending.isDone());
+
+    slow.done(TransactionState.NONE, 1, 8);
+    assertTrue(ending.isDone());
+    assertFalse(slow.isClosed());
+  }
+
+  @Test
+  void shouldRefuseAtOnceWithTheTimeToComeBackWhenNoPrimaryIsExpectedInTime() {
+    fixture.targets.update(List.of());
+    fixture.scheduler.advanceMs(io.lycheejunction.gateway.target.Targets.DROPPED_MS);
+
+    Fault fault = fixture.run(LATEST, DispatchFixture.write()).fault();
+
+    assertEquals(ResultCode.NO_PRIMARY, fault.code());
+    assertTrue(fault.retryAfterMs() >= PrimaryGate.FIRST_PROMOTION_MS);
+  }
+
+  @Test
+  void shouldWaitForThePrimaryWhenAPromotionIsAboutToEnd() {
+    Ending ending = fixture.run(LATEST, DispatchFixture.write());
+    fixture.gate.ordered("ledger");
+    fixture.scheduler.advanceMs(400);
+    fixture.links.last("i-1").greet().fault(ResultCode.NOT_PRIMARY, TransactionState.NONE);
+    assertEquals(ResultCode.NOT_PRIMARY, ending.fault().code());
+
+    fixture.scheduler.advanceMs(500);
+    Ending waiting = fixture.run(LATEST, DispatchFixture.write());
+    assertTrue(waiting.isOpen());
+
+    fixture.targets.find("i-2").orElseThrow().leads(2);
+    fixture.gate.open("ledger");
+    fixture.links.last("i-2").greet().done(TransactionState.NONE, 2, 8);
+    assertTrue(waiting.isDone());
+  }
+
+  @Test
+  void shouldGiveUpAPrimaryThatDoesNotBeginATransaction() {
+    Ending ending = fixture.run(LATEST, DispatchFixture.read());
+    FakeLink link = fixture.links.last("i-1").greet();
+
+    fixture.scheduler.advanceMs(Dispatch.BEGIN_TIMEOUT_MS);
+
+    assertTrue(link.isClosed());
+    assertEquals(ResultCode.TARGET_UNREACHABLE, ending.fault().code());
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -0,0 +1,104 @@
+package io.lycheejunction.gateway.failover;
+
+import io.lycheejunction.gateway.dispatch.DispatchFixture;
+import io.lycheejunction.gateway.target.Target;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+
+/** The group of {@link DispatchFixture}, watched by the VM vm-b beside vm-a and vm-c. */
+final class FailoverFixture {
+
+  /** An order and the function that is told how it ended. */
+  record Order(String target, long token, Consumer<PromotionOrders.Outcome> done) {}
+
+  /** A board whose votes and leases a test sets. */
+  static final class Board implements FailoverBoard {
+    final List<Vote> votes = new ArrayList<>();
+    final List<Vote> own = new ArrayList<>();
+    Optional<Lease> lease = Optional.empty();
+    boolean reachable = true;
+    boolean taken;
+    long nextToken = 10;
+
+    @Override
+    public void vote(String service, Vote vote) {
+      own.add(vote);
+      votes.removeIf(known -> known.vm().equals(vote.vm()));
+      votes.add(vote);
+    }
+
+    @Override
+    public List<Vote> votes(String service) {
+      return votes;
+    }
+
+    @Override
+    public Map<String, String> presentVms() {
+      return Map.of("vm-a", "domain-i-1", "vm-b", "domain-i-2", "vm-c", "domain-i-3");
+    }
+
+    @Override
+    public boolean isReachable() {
+      return reachable;
+    }
+
+    @Override
+    public Optional<Lease> lease(String service) {
+      return lease;
+    }
+
+    @Override
+    public void takeLease(String service, String holder, String previous, Consumer<Claim> done) {
+      done.accept(taken ? new Claim.Missed("taken") : new Claim.Held(nextToken++));
+    }
+  }
+
+  final DispatchFixture group = new DispatchFixture();
+  final Board board = new Board();
+  final List<Order> orders = new ArrayList<>();
+  final PrimaryWatch watch =
+      new PrimaryWatch(
+          new Failover(
+              "vm-b",
+              "vm-b-1",
+              "domain-i-2",
+              group.scheduler,
+              group.targets,
+              group.positions,
+              group.links,
+              board,
+              this::promote,
+              group.gate));
+
+  private void promote(
+      Target target, String holder, long token, Consumer<PromotionOrders.Outcome> done) {
+    orders.add(new Order(target.id(), token, done));
+  }
+
+  /** Votes of the other VMs. */
+  void othersVote(boolean gone) {
+    board.votes.add(new Vote("vm-a", "domain-i-1", "i-1", gone));
+    board.votes.add(new Vote("vm-c", "domain-i-3", "i-1", gone));
+  }
+
+  /** Lets the primary refuse connections, and the probe find out. */
+  void crashPrimary() {
+    group.links.to("i-1").forEach(link -> link.drop());
+    watch.look();
+    group.scheduler.advanceMs(1_100);
+    group.links.to("i-1").forEach(link -> link.drop());
+    watch.look();
+  }
+
+  /** Answers the pending question for the state of a replica. */
+  void answerStatus(String id, long offset) {
+    var link = group.links.last(id);
+    if (link.sent().isEmpty()) {
+      link.greet();
+    }
+    link.done(io.lycheejunction.gateway.link.TransactionState.NONE, 1, offset);
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -0,0 +1,190 @@
+package io.lycheejunction.gateway.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.target.TestTargets;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class PrimaryWatchTest {
+  private static final PromotionOrders.Outcome ACCEPTED = new PromotionOrders.Outcome.Accepted();
+  private static final PromotionOrders.Outcome REJECTED =
+      new PromotionOrders.Outcome.Rejected("409");
+  private static final PromotionOrders.Outcome UNKNOWN =
+      new PromotionOrders.Outcome.Unknown("lost");
+
+  private final FailoverFixture fixture = new FailoverFixture();
+
+  private void startRun() {
+    fixture.crashPrimary();
+    fixture.othersVote(true);
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(150);
+    fixture.watch.look();
+  }
+
+  private void runUntilOrdered() {
+    startRun();
+    fixture.answerStatus("i-2", 7);
+    fixture.answerStatus("i-3", 9);
+  }
+
+  @Test
+  void shouldOrderTheTargetThatHasReceivedMostUnderTheLeasesToken() {
+    runUntilOrdered();
+
+    assertEquals(1, fixture.orders.size());
+    assertEquals("i-3", fixture.orders.getFirst().target());
+    assertEquals(10, fixture.orders.getFirst().token());
+  }
+
+  @Test
+  void shouldNotOrderWhenOthersStillReachThePrimary() {
+    fixture.crashPrimary();
+    fixture.othersVote(false);
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(1_000);
+    fixture.watch.look();
+
+    assertTrue(fixture.orders.isEmpty());
+  }
+
+  @Test
+  void shouldNotOrderWhenAnotherProcessHoldsTheLease() {
+    fixture.board.lease =
+        Optional.of(new Lease("vm-a-1", "i-1", 9, fixture.group.scheduler.nowMs() + 1_000));
+
+    startRun();
+
+    assertTrue(fixture.group.links.to("i-3").isEmpty());
+    assertTrue(fixture.orders.isEmpty());
+  }
+
+  @Test
+  void shouldNotOrderWhenTheLeaseIsLost() {
+    fixture.board.taken = true;
+
+    startRun();
+
+    assertTrue(fixture.orders.isEmpty());
+  }
+
+  @Test
+  void shouldOrderAnotherTargetUnderANewTokenWhenTheFirstIsRejected() {
+    runUntilOrdered();
+
+    fixture.orders.getFirst().done().accept(REJECTED);
+    fixture.group.scheduler.advanceMs(200);
+    fixture.answerStatus("i-2", 7);
+
+    assertEquals("i-2", fixture.orders.getLast().target());
+    assertTrue(fixture.orders.getLast().token() > fixture.orders.getFirst().token());
+  }
+
+  @Test
+  void shouldOrderTheSameTargetUnderTheSameTokenWhenTheAnswerIsLost() {
+    runUntilOrdered();
+
+    fixture.orders.getFirst().done().accept(UNKNOWN);
+    fixture.group.scheduler.advanceMs(200);
+
+    assertEquals(2, fixture.orders.size());
+    assertEquals("i-3", fixture.orders.getLast().target());
+    assertEquals(fixture.orders.getFirst().token(), fixture.orders.getLast().token());
+  }
+
+  @Test
+  void shouldNotOrderAgainWhenTheServiceHasAPrimaryMeanwhile() {
+    runUntilOrdered();
+    fixture.group.targets.update(
+        List.of(
+            TestTargets.target("i-1", true, 1),
+            TestTargets.target("i-2", false, 2),
+            TestTargets.target("i-3", true, 8)));
+    fixture.watch.look();
+
+    fixture.orders.getFirst().done().accept(UNKNOWN);
+    fixture.group.scheduler.advanceMs(1_000);
+
+    assertEquals(1, fixture.orders.size());
+  }
+
+  @Test
+  void shouldLetALeavingPrimaryStepDownAndItsSuccessorCatchUpBeforeTheOrder() {
+    fixture.group.targets.update(
+        List.of(
+            TestTargets.leaving(TestTargets.target("i-1", true, 1), 5),
+            TestTargets.target("i-2", false, 2),
+            TestTargets.target("i-3", false, 3)));
+    fixture.watch.look();
+    fixture.group.links.last("i-1").greet();
+    fixture.group.links.last("i-1").done(TransactionState.OPEN, 1, 9);
+    fixture.group.links.last("i-1").done(TransactionState.NONE, 1, 9);
+    fixture.group.scheduler.advanceMs(300);
+    fixture.watch.look();
+
+    assertEquals(
+        List.of(new TargetCommand.StepDown(2)),
+        fixture.group.links.last("i-1").sent().stream()
+            .filter(command -> command instanceof TargetCommand.StepDown)
+            .toList());
+    fixture.group.links.last("i-1").done(TransactionState.NONE, 1, 9);
+    fixture.answerStatus("i-2", 8);
+    fixture.answerStatus("i-3", 8);
+    assertTrue(fixture.orders.isEmpty());
+
+    fixture.group.scheduler.advanceMs(25);
+    fixture.answerStatus("i-2", 8);
+    fixture.answerStatus("i-3", 9);
+    assertEquals("i-3", fixture.orders.getFirst().target());
+    fixture.orders.getFirst().done().accept(ACCEPTED);
+  }
+
+  @Test
+  void shouldVoteThatThePrimaryAnswersWhenAnotherVmMissesIt() {
+    fixture.watch.look();
+    fixture.group.links.last("i-1").greet();
+    fixture.group.links.last("i-1").done(TransactionState.OPEN, 1, 9);
+    fixture.group.links.last("i-1").done(TransactionState.NONE, 1, 9);
+    fixture.othersVote(true);
+
+    fixture.watch.look();
+
+    assertEquals(1, fixture.board.own.size());
+    assertFalse(fixture.board.own.getFirst().gone());
+  }
+
+  @Test
+  void shouldBeIsolatedOnlyWhenNeitherTheStoreNorAPrimaryIsReached() {
+    fixture.crashPrimary();
+    fixture.group.scheduler.advanceMs(1_000);
+    fixture.watch.look();
+    assertFalse(fixture.watch.isIsolated());
+
+    fixture.board.reachable = false;
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(400);
+    assertTrue(fixture.watch.isIsolated());
+
+    fixture.board.reachable = true;
+    fixture.watch.look();
+    assertFalse(fixture.watch.isIsolated());
+  }
+
+  @Test
+  void shouldAskTargetsWhoLeadsWhenNoPrimaryIsKnown() {
+    fixture.group.targets.update(
+        List.of(TestTargets.target("i-2", false, 2), TestTargets.target("i-3", false, 3)));
+    fixture.group.scheduler.advanceMs(io.lycheejunction.gateway.target.Targets.DROPPED_MS);
+
+    fixture.watch.look();
+
+    assertEquals(
+        List.of(new TargetCommand.AskStatus()), fixture.group.links.last("i-2").greet().sent());
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
@@ -0,0 +1,223 @@
+package io.lycheejunction.gateway.session;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.statement.PreparedShape;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.dispatch.DispatchFixture;
+import io.lycheejunction.gateway.link.CallerLink;
+import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ReadRule;
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.route.RouteTable;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class CallerSessionTest {
+
+  /** Remembers what the caller was told, one word each. */
+  private static final class Caller implements CallerLink {
+    private final List<String> told = new ArrayList<>();
+    private boolean closed;
+
+    @Override
+    public void accept() {
+      told.add("accepted");
+    }
+
+    @Override
+    public void reject(Fault fault) {
+      told.add("rejected " + fault.code());
+    }
+
+    @Override
+    public void answer(
+        List<String> rows,
+        Optional<String> signature,
+        TransactionState state,
+        Optional<LogPosition> position) {
+      told.add("done " + state);
+    }
+
+    @Override
+    public void refuse(Fault fault, TransactionState state) {
+      told.add(fault.code() + " " + state);
+    }
+
+    @Override
+    public void close() {
+      closed = true;
+    }
+
+    private String last() {
+      return told.getLast();
+    }
+  }
+
+  private static final long IDLE_TRANSACTION_MS = 3_000;
+
+  private final DispatchFixture fixture = new DispatchFixture();
+  private final Gateway gateway = new Gateway(fixture.dispatch);
+  private final Caller caller = new Caller();
+  private final CallerSession session;
+
+  CallerSessionTest() {
+    gateway.apply(table(1, "db"));
+    session = gateway.open(caller, "db").orElseThrow();
+  }
+
+  private static RouteTable table(long version, String database) {
+    Route route =
+        new Route(database, "ledger", new ReadRule.Latest(), DispatchFixture.TIMEOUT_MS, 200, 1);
+    return new RouteTable(version, Map.of(database, route), Map.of(), IDLE_TRANSACTION_MS);
+  }
+
+  private static CallerStatement write() {
+    return new CallerStatement.Write("x 1");
+  }
+
+  private void beginAndWrite() {
+    session.query("1", new CallerStatement.Begin(false));
+    session.query("2", write());
+    FakeLink link = fixture.links.last("i-1").greet();
+    link.done(TransactionState.OPEN, 1, 5);
+    link.done(TransactionState.OPEN, 1, 5);
+  }
+
+  @Test
+  void shouldRejectASessionWhenItsDatabaseHasNoRoute() {
+    Caller other = new Caller();
+
+    assertTrue(gateway.open(other, "unknown").isEmpty());
+    assertEquals("rejected UNKNOWN_SERVICE", other.last());
+  }
+
+  @Test
+  void shouldAcceptWaitingSessionsWhenTheFirstConfigurationComes() {
+    Gateway fresh = new Gateway(fixture.dispatch);
+    Caller early = new Caller();
+
+    fresh.open(early, "db");
+    assertTrue(early.told.isEmpty());
+    fresh.apply(table(1, "db"));
+
+    assertEquals("accepted", early.last());
+  }
+
+  @Test
+  void shouldRejectAWaitingSessionWhenNoConfigurationComes() {
+    Gateway fresh = new Gateway(fixture.dispatch);
+    Caller early = new Caller();
+    fresh.open(early, "db");
+
+    fixture.scheduler.advanceMs(1_500);
+
+    assertEquals("rejected NO_PRIMARY", early.last());
+  }
+
+  @Test
+  void shouldNotGoBackWhenAnOlderConfigurationArrives() {
+    gateway.apply(table(5, "newer"));
+
+    assertFalse(gateway.apply(table(4, "db")));
+    assertTrue(gateway.route("newer").isPresent());
+  }
+
+  @Test
+  void shouldRefuseStatementsWhenTheRouteWasRemoved() {
+    gateway.apply(table(5, "newer"));
+
+    session.query("1", write());
+
+    assertEquals("UNKNOWN_SERVICE NONE", caller.last());
+  }
+
+  @Test
+  void shouldKeepItsRouteInATransactionWhenTheRouteIsRemovedMeanwhile() {
+    beginAndWrite();
+    gateway.apply(table(5, "newer"));
+
+    session.query("3", new CallerStatement.Commit());
+    fixture.links.last("i-1").done(TransactionState.NONE, 1, 6);
+
+    assertEquals("done NONE", caller.last());
+  }
+
+  @Test
+  void shouldAnswerInOrderWhenStatementsArriveAtOnce() {
+    session.query("1", write());
+    session.query("2", new CallerStatement.SetValue("a", "1"));
+    assertEquals(List.of("accepted"), caller.told);
+
+    fixture.links.last("i-1").greet().done(TransactionState.NONE, 1, 5);
+
+    assertEquals(List.of("accepted", "done NONE", "done NONE"), caller.told);
+  }
+
+  @Test
+  void shouldRefuseExecutionWhenTheNameIsNotPrepared() {
+    session.query("1", new CallerStatement.Execute("s", "x"));
+
+    assertEquals("UNKNOWN_PREPARED NONE", caller.last());
+  }
+
+  @Test
+  void shouldPrepareOnTheConnectionWhenAPreparedStatementRuns() {
+    session.query("1", new CallerStatement.Prepare("s", new PreparedShape(true, "q")));
+    session.query("2", new CallerStatement.Execute("s", "x 1"));
+
+    List<TargetCommand> sent = fixture.links.last("i-1").greet().sent();
+    TargetCommand.Run prepare = (TargetCommand.Run) sent.getFirst();
+    TargetCommand.Run execute = (TargetCommand.Run) sent.getLast();
+    assertEquals(
+        new CallerStatement.Prepare("p0", new PreparedShape(true, "q")), prepare.statement());
+    assertEquals(new CallerStatement.Execute("p0", "x 1"), execute.statement());
+  }
+
+  @Test
+  void shouldAcceptOnlyTheEndWhenTheTransactionHasFailed() {
+    beginAndWrite();
+    session.query("3", write());
+    fixture.links.last("i-1").fault(ResultCode.NOT_PRIMARY, TransactionState.FAILED);
+    assertEquals("NOT_PRIMARY FAILED", caller.last());
+
+    session.query("4", write());
+    assertEquals("TRANSACTION_FAILED FAILED", caller.last());
+
+    session.query("5", new CallerStatement.Commit());
+    assertEquals("ROLLED_BACK NONE", caller.last());
+  }
+
+  @Test
+  void shouldRollBackAnIdleTransactionAndTellItsCallerWithTheNextStatement() {
+    beginAndWrite();
+
+    fixture.scheduler.advanceMs(IDLE_TRANSACTION_MS);
+    session.query("3", write());
+
+    assertEquals("ROLLED_BACK FAILED", caller.last());
+  }
+
+  @Test
+  void shouldCloseRestingSessionsAndLeaveOthersUntilTheyRestWhenShuttingDown() {
+    beginAndWrite();
+    gateway.closeSessions();
+    assertFalse(caller.closed);
+
+    session.query("3", new CallerStatement.Commit());
+    fixture.links.last("i-1").done(TransactionState.NONE, 1, 6);
+
+    assertTrue(caller.closed);
+    assertEquals("done NONE", caller.last());
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
@@ -0,0 +1,109 @@
+package io.lycheejunction.gateway.target;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotSame;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.link.FakeLinks;
+import io.lycheejunction.gateway.schedule.ManualScheduler;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class TargetsTest {
+  private final ManualScheduler scheduler = new ManualScheduler();
+  private final Targets targets = new Targets(scheduler, new FakeLinks());
+
+  private TargetHandle handle(String id) {
+    return targets.find(id).orElseThrow();
+  }
+
+  private Optional<String> primary() {
+    return targets.primaryOf(TestTargets.SERVICE).map(handle -> handle.target().id());
+  }
+
+  @Test
+  void shouldKeepATargetForAWhileWhenItsRegistrationDisappears() {
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    targets.update(List.of());
+
+    scheduler.advanceMs(Targets.LAPSED_MS - 1);
+    assertFalse(targets.isLeaving(handle("i-1")));
+
+    scheduler.advanceMs(1);
+    assertTrue(targets.isLeaving(handle("i-1")));
+
+    scheduler.advanceMs(Targets.DROPPED_MS - Targets.LAPSED_MS);
+    assertTrue(targets.find("i-1").isEmpty());
+  }
+
+  @Test
+  void shouldKeepItsConnectionsWhenALapsedRegistrationComesBack() {
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    final TargetHandle before = handle("i-1");
+    targets.update(List.of());
+    scheduler.advanceMs(1_000);
+    targets.update(List.of(TestTargets.target("i-1", true, 9)));
+
+    scheduler.advanceMs(Targets.DROPPED_MS);
+
+    assertSame(before, handle("i-1"));
+  }
+
+  @Test
+  void shouldStartAnewWhenAnIdentifierIsBornAgain() {
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    final TargetHandle before = handle("i-1");
+
+    targets.update(
+        List.of(
+            new Target(
+                "i-1",
+                2,
+                TestTargets.SERVICE,
+                new Endpoint("10.0.0.1", 1),
+                "domain-i-1",
+                3,
+                false,
+                true,
+                2)));
+
+    assertNotSame(before, handle("i-1"));
+  }
+
+  @Test
+  void shouldPreferTheProvenPrimaryWhenAnOutdatedRegistrationComesBackLater() {
+    targets.update(
+        List.of(TestTargets.target("i-1", false, 1), TestTargets.target("i-2", true, 2)));
+    handle("i-2").leads(2);
+
+    targets.update(List.of(TestTargets.target("i-1", true, 9), TestTargets.target("i-2", true, 2)));
+
+    assertEquals(Optional.of("i-2"), primary());
+  }
+
+  @Test
+  void shouldForgetAPrimaryWhenItRefusesAsNotLeading() {
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    handle("i-1").leads(1);
+
+    handle("i-1").failed(Fault.of(ResultCode.NOT_PRIMARY, "lost"), scheduler.nowMs());
+
+    assertEquals(Optional.empty(), primary());
+  }
+
+  @Test
+  void shouldPreferAClaimantThatAnswersWhenThePrimaryRefusesConnections() {
+    targets.update(List.of(TestTargets.target("i-1", true, 1), TestTargets.target("i-2", true, 2)));
+    handle("i-1").leads(1);
+
+    handle("i-1")
+        .connectFailed(Fault.of(ResultCode.TARGET_UNREACHABLE, "refused"), scheduler.nowMs());
+
+    assertEquals(Optional.of("i-2"), primary());
+  }
+}
