--- a/core/src/test/java/io/lycheejunction/core/freshness/ProvenPositionsTest.java
+++ b/core/src/test/java/io/lycheejunction/core/freshness/ProvenPositionsTest.java
@@ -36,7 +36,7 @@
   }
 
   @Test
-  void shouldDropOwnCommitOfAnEarlierTermWhenAPromotionIsKnown() {
+  void shouldDropOwnCommitOfAnEarlierTermWhenPromotionIsKnown() {
     positions.record(1_000, new LogPosition(1, 10));
     positions.record(1_200, new LogPosition(2, 8));
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
@@ -3,11 +3,12 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.metrics.GatewayMetrics;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.Optional;
 
 /**
- * Writes one line for each decided statement, within a budget.
+ * Counts each decided statement and writes a line about it, within a budget.
  *
  * <p>Refusals and unknown outcomes go before successes: each has a budget of its own, and what is
  * beyond it is counted and reported with the next line of its kind.
@@ -25,6 +26,7 @@
       Work work, String target, String floor, int tries, long tookMs, Optional<Fault> fault) {}
 
   private final Scheduler scheduler;
+  private final GatewayMetrics metrics;
   private final Budget successes = new Budget();
   private final Budget faults = new Budget();
   private long configurationVersion;
@@ -33,9 +35,11 @@
    * Creates a journal.
    *
    * @param scheduler the gateway's clock
+   * @param metrics counts what is written down, also beyond the budget
    */
-  public StatementJournal(Scheduler scheduler) {
+  public StatementJournal(Scheduler scheduler, GatewayMetrics metrics) {
     this.scheduler = scheduler;
+    this.metrics = metrics;
   }
 
   /**
@@ -53,6 +57,11 @@
    * @param entry what was decided
    */
   public void write(Entry entry) {
+    metrics.statement(
+        entry.work().route().service(),
+        entry.work().writes(),
+        entry.fault().map(Fault::code).orElse(ResultCode.DONE),
+        entry.tookMs());
     Budget budget = entry.fault().isPresent() ? faults : successes;
     long dropped = budget.take(scheduler.nowMs());
     if (dropped < 0) {
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counters and histograms of what the gateway does. */
+package io.lycheejunction.gateway.metrics;
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -6,11 +6,13 @@
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.link.FakeLinks;
 import io.lycheejunction.gateway.link.LinkReply;
+import io.lycheejunction.gateway.metrics.GatewayMetrics;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.schedule.ManualScheduler;
 import io.lycheejunction.gateway.target.Targets;
 import io.lycheejunction.gateway.target.TestTargets;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -68,7 +70,7 @@
           new Placement(targets, "domain-i-2"),
           gate,
           new Hedging(),
-          new StatementJournal(scheduler));
+          new StatementJournal(scheduler, new GatewayMetrics(new SimpleMeterRegistry())));
 
   /** Registers the three targets. */
   public DispatchFixture() {
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
@@ -35,7 +35,7 @@
   }
 
   @Test
-  void shouldReadAtTheReplicaOfItsDomainWithAFloorWhenAPositionIsProven() {
+  void shouldReadAtTheReplicaOfItsDomainWithFloorWhenPositionIsProven() {
     fixture.prove(1, 7);
 
     Ending ending = fixture.run(AGED, DispatchFixture.read());
@@ -48,7 +48,7 @@
   }
 
   @Test
-  void shouldTryAnotherTargetWhenAReplicaLags() {
+  void shouldTryAnotherTargetWhenReplicaLags() {
     fixture.prove(1, 7);
     Ending ending = fixture.run(AGED, DispatchFixture.read());
 
@@ -59,8 +59,8 @@
   }
 
   @Test
-  void shouldReadInsideATransactionOfThePrimaryWhenNoPositionIsProven() {
-    Ending ending = fixture.run(AGED, DispatchFixture.read());
+  void shouldReadInsideTransactionOfThePrimaryWhenNoPositionIsProven() {
+    final Ending ending = fixture.run(AGED, DispatchFixture.read());
 
     FakeLink link = fixture.links.last("i-1").greet();
     assertEquals(1, link.sent().size());
@@ -73,7 +73,7 @@
   }
 
   @Test
-  void shouldNotSendALatestReadWhenThePrimaryHasLostTheLead() {
+  void shouldNotSendLatestReadWhenThePrimaryHasLostTheLead() {
     Ending ending = fixture.run(LATEST, DispatchFixture.read());
 
     FakeLink link = fixture.links.last("i-1").greet();
@@ -84,7 +84,7 @@
   }
 
   @Test
-  void shouldNotSendAWriteAgainWhenItsConnectionEnds() {
+  void shouldNotSendWriteAgainWhenItsConnectionEnds() {
     Ending ending = fixture.run(LATEST, DispatchFixture.write());
     FakeLink link = fixture.links.last("i-1").greet();
 
@@ -96,7 +96,7 @@
   }
 
   @Test
-  void shouldCloseTheConnectionAndLeaveTheOutcomeOpenWhenAWriteIsNotAnswered() {
+  void shouldCloseTheConnectionAndLeaveTheOutcomeOpenWhenWriteIsNotAnswered() {
     Ending ending = fixture.run(LATEST, DispatchFixture.write());
     FakeLink link = fixture.links.last("i-1").greet();
 
@@ -107,7 +107,7 @@
   }
 
   @Test
-  void shouldPassOnTheTargetsWordWhenAWriteFailed() {
+  void shouldPassOnTheTargetsWordWhenWriteFailed() {
     Ending ending = fixture.run(LATEST, DispatchFixture.write());
 
     fixture.links.last("i-1").greet().fault(ResultCode.STATEMENT_FAILED, TransactionState.NONE);
@@ -116,7 +116,7 @@
   }
 
   @Test
-  void shouldReadElsewhereWhenAReadFailed() {
+  void shouldReadElsewhereWhenReadFailed() {
     fixture.prove(1, 7);
     Ending ending = fixture.run(AGED, DispatchFixture.read());
 
@@ -130,7 +130,7 @@
   void shouldReadBesideWhenTheFirstTargetIsOverdue() {
     fixture.prove(1, 7);
     Ending ending = fixture.run(AGED, DispatchFixture.read());
-    FakeLink slow = fixture.links.last("i-2").greet();
+    final FakeLink slow = fixture.links.last("i-2").greet();
 
     fixture.scheduler.advanceMs(200);
     fixture.links.last("i-3").greet().done(TransactionState.NONE, 1, 8);
@@ -153,8 +153,8 @@
   }
 
   @Test
-  void shouldWaitForThePrimaryWhenAPromotionIsAboutToEnd() {
-    Ending ending = fixture.run(LATEST, DispatchFixture.write());
+  void shouldWaitForThePrimaryWhenPromotionIsAboutToEnd() {
+    final Ending ending = fixture.run(LATEST, DispatchFixture.write());
     fixture.gate.ordered("ledger");
     fixture.scheduler.advanceMs(400);
     fixture.links.last("i-1").greet().fault(ResultCode.NOT_PRIMARY, TransactionState.NONE);
@@ -171,7 +171,7 @@
   }
 
   @Test
-  void shouldGiveUpAPrimaryThatDoesNotBeginATransaction() {
+  void shouldGiveUpPrimaryThatDoesNotBeginTransaction() {
     Ending ending = fixture.run(LATEST, DispatchFixture.read());
     FakeLink link = fixture.links.last("i-1").greet();
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/TransactionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/TransactionTest.java
@@ -63,7 +63,7 @@
   }
 
   @Test
-  void shouldBeginAtAReplicaWithAFloorWhenItOnlyReadsAgedData() {
+  void shouldBeginAtReplicaWithFloorWhenItOnlyReadsAgedData() {
     fixture.prove(1, 7);
     run(begin(AGED, true), DispatchFixture.read());
 
@@ -74,7 +74,7 @@
   }
 
   @Test
-  void shouldBeginPlainlyAtThePrimaryWhenAReadOnlyTransactionNeedsTheLatestData() {
+  void shouldBeginPlainlyAtThePrimaryWhenReadOnlyTransactionNeedsTheLatestData() {
     run(begin(LATEST, true), DispatchFixture.read());
 
     TargetCommand.Run sent =
@@ -144,7 +144,7 @@
   }
 
   @Test
-  void shouldNotBeginForACallerThatLeftWhileNoPrimaryWasKnown() {
+  void shouldNotBeginForCallerThatLeftWhileNoPrimaryWasKnown() {
     Transaction transaction = begin(LATEST, false);
     fixture.gate.ordered("ledger");
     fixture.scheduler.advanceMs(900);
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -75,7 +75,7 @@
   }
 
   @Test
-  void shouldOrderAnotherTargetUnderANewTokenWhenTheFirstIsRejected() {
+  void shouldOrderAnotherTargetUnderNewTokenWhenTheFirstIsRejected() {
     runUntilOrdered();
 
     fixture.orders.getFirst().done().accept(REJECTED);
@@ -99,7 +99,7 @@
   }
 
   @Test
-  void shouldNotOrderAgainWhenTheServiceHasAPrimaryMeanwhile() {
+  void shouldNotOrderAgainWhenTheServiceHasPrimaryMeanwhile() {
     runUntilOrdered();
     fixture.group.targets.update(
         List.of(
@@ -115,7 +115,7 @@
   }
 
   @Test
-  void shouldLetALeavingPrimaryStepDownAndItsSuccessorCatchUpBeforeTheOrder() {
+  void shouldLetLeavingPrimaryStepDownAndItsSuccessorCatchUpBeforeTheOrder() {
     fixture.group.targets.update(
         List.of(
             TestTargets.leaving(TestTargets.target("i-1", true, 1), 5),
@@ -160,7 +160,7 @@
   }
 
   @Test
-  void shouldBeIsolatedOnlyWhenNeitherTheStoreNorAPrimaryIsReached() {
+  void shouldBeIsolatedOnlyWhenNeitherTheStoreNorPrimaryIsReached() {
     fixture.crashPrimary();
     fixture.group.scheduler.advanceMs(1_000);
     fixture.watch.look();
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -95,7 +95,7 @@
   }
 
   @Test
-  void shouldServeTheMostUrgentRequestFirstWhenAConnectionComesFree() {
+  void shouldServeTheMostUrgentRequestFirstWhenConnectionComesFree() {
     final PooledLink first = open(ALICE);
     open(ALICE);
     Wish patient = ask(ALICE, 2);
@@ -108,7 +108,7 @@
   }
 
   @Test
-  void shouldPreferAConnectionThatIsSetUpForTheSessionWhenSeveralAreIdle() {
+  void shouldPreferConnectionThatIsSetUpForTheSessionWhenSeveralAreIdle() {
     PooledLink forAlice = open(ALICE);
     PooledLink forBob = open(BOB);
     forAlice.run(ALICE, read(), result -> {});
@@ -169,7 +169,7 @@
   }
 
   @Test
-  void shouldKeepAReleasedConnectionAsideWhenACommandIsStillUnanswered() {
+  void shouldKeepReleasedConnectionAsideWhenCommandIsStillUnanswered() {
     PooledLink link = open(ALICE);
     link.runAndRollBack(SessionState.empty(), read(), result -> {});
     links.last("i-1").done(TransactionState.OPEN, 1, 1);
@@ -203,7 +203,7 @@
   }
 
   @Test
-  void shouldNotGrowForAWhileWhenTheTargetHasNoRoomForConnections() {
+  void shouldNotGrowForWhileWhenTheTargetHasNoRoomForConnections() {
     open(ALICE);
     ask(ALICE, 0);
     links.opened().getLast().reject(ResultCode.TARGET_CONNECTIONS_FULL);
@@ -218,7 +218,7 @@
 
   @Test
   void shouldCloseIdleConnectionsAtOnceAndBusyOnesLaterWhenRetired() {
-    PooledLink busy = open(ALICE);
+    final PooledLink busy = open(ALICE);
     final PooledLink idle = open(ALICE);
     idle.release();
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
@@ -95,7 +95,7 @@
   }
 
   @Test
-  void shouldRejectASessionWhenItsDatabaseHasNoRoute() {
+  void shouldRejectSessionWhenItsDatabaseHasNoRoute() {
     Caller other = new Caller();
 
     assertTrue(gateway.open(other, "unknown").isEmpty());
@@ -115,7 +115,7 @@
   }
 
   @Test
-  void shouldRejectAWaitingSessionWhenNoConfigurationComes() {
+  void shouldRejectWaitingSessionWhenNoConfigurationComes() {
     Gateway fresh = new Gateway(fixture.dispatch);
     Caller early = new Caller();
     fresh.open(early, "db");
@@ -143,7 +143,7 @@
   }
 
   @Test
-  void shouldKeepItsRouteInATransactionWhenTheRouteIsRemovedMeanwhile() {
+  void shouldKeepItsRouteInTransactionWhenTheRouteIsRemovedMeanwhile() {
     beginAndWrite();
     gateway.apply(table(5, "newer"));
 
@@ -172,7 +172,7 @@
   }
 
   @Test
-  void shouldPrepareOnTheConnectionWhenAPreparedStatementRuns() {
+  void shouldPrepareOnTheConnectionWhenPreparedStatementRuns() {
     session.query("1", new CallerStatement.Prepare("s", new PreparedShape(true, "q")));
     session.query("2", new CallerStatement.Execute("s", "x 1"));
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
@@ -27,7 +27,7 @@
   }
 
   @Test
-  void shouldKeepATargetForAWhileWhenItsRegistrationDisappears() {
+  void shouldKeepTargetForWhileWhenItsRegistrationDisappears() {
     targets.update(List.of(TestTargets.target("i-1", true, 1)));
     targets.update(List.of());
 
@@ -42,7 +42,7 @@
   }
 
   @Test
-  void shouldKeepItsConnectionsWhenALapsedRegistrationComesBack() {
+  void shouldKeepItsConnectionsWhenLapsedRegistrationComesBack() {
     targets.update(List.of(TestTargets.target("i-1", true, 1)));
     final TargetHandle before = handle("i-1");
     targets.update(List.of());
@@ -87,7 +87,7 @@
   }
 
   @Test
-  void shouldForgetAPrimaryWhenItRefusesAsNotLeading() {
+  void shouldForgetPrimaryWhenItRefusesAsNotLeading() {
     targets.update(List.of(TestTargets.target("i-1", true, 1)));
     handle("i-1").leads(1);
 
@@ -97,7 +97,7 @@
   }
 
   @Test
-  void shouldPreferAClaimantThatAnswersWhenThePrimaryRefusesConnections() {
+  void shouldPreferClaimantThatAnswersWhenThePrimaryRefusesConnections() {
     targets.update(List.of(TestTargets.target("i-1", true, 1), TestTargets.target("i-2", true, 2)));
     handle("i-1").leads(1);
 
