Share a target's connections between the VMs that are there

Change: each VM holds its part of the connections less a reserve, and keeps half of that while nothing needs more.

--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -30,6 +30,9 @@
   /** How long a connection that can't be opened is waited for, in milliseconds. */
   static final long OPEN_TIMEOUT_MS = 1_000;
 
+  private static final long IDLE_MS = 20_000;
+  private static final long EXTRA_IDLE_MS = 2_000;
+
   private final Target target;
   private final TargetLinks links;
   private final Scheduler scheduler;
@@ -38,7 +41,7 @@
   private final Set<PooledLink> busy = new HashSet<>();
   private final Set<PooledLink> opening = new HashSet<>();
   private final List<LinkRequest> requests = new ArrayList<>();
-  private int maxLinks;
+  private ConnectionShare share;
   private long noGrowthUntilMs = Long.MIN_VALUE;
   private boolean retired;
 
@@ -48,19 +51,19 @@
    * @param target the target
    * @param links opens connections
    * @param scheduler the gateway's clock
-   * @param maxLinks the most connections to hold
+   * @param share how many connections to hold
    * @param onFault is told of connections that fail
    */
   public TargetPool(
       Target target,
       TargetLinks links,
       Scheduler scheduler,
-      int maxLinks,
+      ConnectionShare share,
       Consumer<Fault> onFault) {
     this.target = target;
     this.links = links;
     this.scheduler = scheduler;
-    this.maxLinks = maxLinks;
+    this.share = share;
     this.onFault = onFault;
   }
 
@@ -133,12 +136,15 @@
   }
 
   /**
-   * Sets the most connections to hold; open ones beyond it are closed when they are idle.
+   * Sets how many connections to hold; open ones beyond that are closed when they are idle.
    *
-   * @param limit the limit
+   * @param changed the share
    */
-  public void limit(int limit) {
-    maxLinks = limit;
+  public void limit(ConnectionShare changed) {
+    share = changed;
+    while (links() > share.most() && !idle.isEmpty()) {
+      idle.peekLast().abandon(Fault.of(ResultCode.TARGET_LEAVING, "beyond the share"));
+    }
   }
 
   /** Closes the idle connections, and the others once they are released; refuses what waits. */
@@ -149,15 +155,13 @@
     refuseAll(Fault.of(ResultCode.TARGET_LEAVING, "target " + target.id() + " has left"));
   }
 
-  /**
-   * Closes connections that nobody has used for a time.
-   *
-   * @param idleMs the time, in milliseconds
-   */
-  public void closeIdle(long idleMs) {
-    long beforeMs = scheduler.nowMs() - idleMs;
+  /** Closes connections that nobody has used for a while; those beyond the idle share sooner. */
+  public void closeIdle() {
+    int kept = 0;
     for (PooledLink link : List.copyOf(idle)) {
-      if (link.idleSinceMs() < beforeMs) {
+      kept++;
+      long idleMs = scheduler.nowMs() - link.idleSinceMs();
+      if (idleMs > (kept > share.idle() ? EXTRA_IDLE_MS : IDLE_MS)) {
         link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "idle"));
       }
     }
@@ -167,7 +171,7 @@
     if (!busy.remove(link) || link.isClosed()) {
       return;
     }
-    if (retired || links() >= maxLinks && requests.isEmpty()) {
+    if (retired || links() >= share.most() && requests.isEmpty()) {
       closeWhenQuiet(link);
       return;
     }
@@ -258,7 +262,7 @@
   }
 
   private boolean mayGrow() {
-    return !retired && links() < maxLinks && scheduler.nowMs() >= noGrowthUntilMs;
+    return !retired && links() < share.most() && scheduler.nowMs() >= noGrowthUntilMs;
   }
 
   private void open() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -3,7 +3,9 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.gateway.link.TargetLinks;
+import io.lycheejunction.gateway.pool.ConnectionShare;
 import io.lycheejunction.gateway.pool.TargetPool;
+import io.lycheejunction.gateway.route.ServiceLimits;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -32,11 +34,12 @@
   public static final long DROPPED_MS = 5_000;
 
   private static final EventLog LOG = EventLog.of(Targets.class);
-  private static final int MIN_LINKS = 3;
 
   private final Scheduler scheduler;
   private final TargetLinks links;
   private final Map<String, Long> missingSinceMs = new HashMap<>();
+  private Map<String, ServiceLimits> serviceLimits = Map.of();
+  private int vmCount = 1;
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
 
@@ -199,13 +202,37 @@
   }
 
   private TargetHandle newHandle(Target target) {
-    int maxLinks = Math.max(MIN_LINKS, target.slots());
     TargetPool pool =
         new TargetPool(
-            target, links, scheduler, maxLinks, fault -> onConnectFault(target.id(), fault));
+            target,
+            links,
+            scheduler,
+            shareOf(target.service()),
+            fault -> onConnectFault(target.id(), fault));
     return new TargetHandle(target, pool, scheduler.nowMs());
   }
 
+  /**
+   * Shares the connections of targets between VMs.
+   *
+   * @param limits the limits of services
+   * @param vms the number of VMs
+   */
+  public void share(Map<String, ServiceLimits> limits, int vms) {
+    if (limits.equals(serviceLimits) && vms == vmCount) {
+      return;
+    }
+    serviceLimits = Map.copyOf(limits);
+    vmCount = vms;
+    LOG.info("connections_shared", "vms", vms);
+    byId.values().forEach(handle -> handle.pool().limit(shareOf(handle.target().service())));
+  }
+
+  private ConnectionShare shareOf(String service) {
+    ServiceLimits limits = serviceLimits.get(service);
+    return ConnectionShare.of(limits == null ? 0 : limits.maxConnections(), vmCount);
+  }
+
   private void onConnectFault(String id, Fault fault) {
     find(id).ifPresent(handle -> handle.connectFailed(fault, scheduler.nowMs()));
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -66,7 +66,12 @@
   private final FakeLinks links = new FakeLinks();
   private final List<Fault> connectFaults = new ArrayList<>();
   private final TargetPool pool =
-      new TargetPool(TestTargets.target("i-1", true, 1), links, scheduler, 2, connectFaults::add);
+      new TargetPool(
+          TestTargets.target("i-1", true, 1),
+          links,
+          scheduler,
+          new ConnectionShare(2, 1),
+          connectFaults::add);
 
   private Wish ask(SessionState session, int priority) {
     Wish wish = new Wish(session, priority);
@@ -216,6 +221,33 @@
     assertEquals(3, links.opened().size());
   }
 
+  @Test
+  void shouldCloseConnectionsBeyondTheIdleShareSoonerWhenNothingNeedsThem() {
+    final PooledLink first = open(ALICE);
+    final PooledLink second = open(ALICE);
+    first.release();
+    second.release();
+
+    scheduler.advanceMs(3_000);
+    pool.closeIdle();
+    assertEquals(1, pool.links());
+
+    scheduler.advanceMs(20_000);
+    pool.closeIdle();
+    assertEquals(0, pool.links());
+  }
+
+  @Test
+  void shouldCloseIdleConnectionsWhenTheShareShrinks() {
+    final PooledLink first = open(ALICE);
+    open(ALICE);
+    first.release();
+
+    pool.limit(new ConnectionShare(1, 1));
+
+    assertEquals(1, pool.links());
+  }
+
   @Test
   void shouldCloseIdleConnectionsAtOnceAndBusyOnesLaterWhenRetired() {
     final PooledLink busy = open(ALICE);
