Doubt a primary sooner, and wait shortly for a target that is full

Change: 350 ms without an answer to a question that costs no work counts, whatever the pauses were; an overdue read asks the primary at once. A full target is tried again after 150 ms and statements wait for it for at most 200 ms.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -57,9 +57,7 @@
    * @return the primary, or empty if statements can't be sent to it now
    */
   Optional<TargetHandle> usablePrimaryOf(String service) {
-    return targets
-        .primaryOf(service)
-        .filter(handle -> !handle.suspicion().isGone(scheduler.nowMs()));
+    return targets.primaryOf(service).filter(handle -> !handle.isGone(scheduler.nowMs()));
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -31,7 +31,7 @@
   private static final long ASK_INTERVAL_MS = 300;
 
   /** How long VMs that still reach the primary have to say so, in milliseconds. */
-  private static final long OBJECTION_MS = 150;
+  private static final long OBJECTION_MS = 100;
 
   private static final long FRESH_ANSWER_MS = 250;
   private static final long ASK_TIMEOUT_MS = 250;
@@ -68,7 +68,7 @@
       startOnceAfter(jitterMs, "leaving", primary, true);
       return true;
     }
-    boolean gone = handle.suspicion().isGone(now());
+    boolean gone = handle.isGone(now());
     voteOn(handle, gone);
     if (gone) {
       handle
@@ -78,7 +78,7 @@
       return true;
     }
     startableFromMs = Long.MIN_VALUE;
-    return handle.suspicion().isDoubtful(now());
+    return handle.isDoubtful(now());
   }
 
   /** Returns whether the primary is known and answers. */
@@ -86,7 +86,7 @@
     return failover
         .targets()
         .primaryOf(service)
-        .filter(handle -> !handle.suspicion().isGone(now()))
+        .filter(handle -> !handle.isGone(now()))
         .isPresent();
   }
 
@@ -101,7 +101,7 @@
         run.succeeded(id.get());
       }
     }
-    if (primary.isPresent() && !primary.get().suspicion().isGone(now())) {
+    if (primary.isPresent() && !primary.get().isGone(now())) {
       failover.gate().open(service);
     }
   }
@@ -226,7 +226,7 @@
   }
 
   private void probeIfDue(TargetHandle handle) {
-    boolean doubtful = handle.suspicion().isDoubtful(now());
+    boolean doubtful = handle.isDoubtful(now());
     long proofAgeMs = failover.positions().of(service).newestAgeMs(now());
     boolean due = doubtful || proofAgeMs > PROBE_INTERVAL_MS;
     long pauseMs = doubtful ? DOUBT_INTERVAL_MS : PROBE_INTERVAL_MS;
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -25,7 +25,10 @@
  */
 public final class TargetPool {
   /** How long the pool does not grow after the target refused a connection, in milliseconds. */
-  static final long FULL_PAUSE_MS = 1_000;
+  static final long FULL_PAUSE_MS = 150;
+
+  /** How long a request waits for a target that has no room for a first connection. */
+  static final long FULL_WAIT_MS = 200;
 
   /** How long a connection that can't be opened is waited for, in milliseconds. */
   static final long OPEN_TIMEOUT_MS = 1_000;
@@ -86,10 +89,21 @@
     enqueue(request);
     growFor(requests.size());
     if (links() == 0) {
-      refuseAll(new Fault(ResultCode.NO_CONNECTION, "no connection to " + target.id(), 0));
+      scheduler.schedule(FULL_WAIT_MS, () -> giveUp(request));
+    }
+  }
+
+  private void giveUp(LinkRequest request) {
+    if (links() == 0 && requests.remove(request)) {
+      request.refused(
+          new Fault(ResultCode.NO_CONNECTION, "no connection to " + target.id(), FULL_PAUSE_MS));
     }
   }
 
+  private void growAgain() {
+    growFor(requests.size());
+  }
+
   /**
    * Drops a request that waits.
    *
@@ -195,7 +209,11 @@
     if (wasOpening) {
       onFault.accept(cause);
     }
-    if (!requests.isEmpty() && links() == 0 && wasOpening) {
+    boolean full = cause.code() == ResultCode.TARGET_CONNECTIONS_FULL;
+    if (!requests.isEmpty() && links() == 0 && wasOpening && full) {
+      List.copyOf(requests)
+          .forEach(request -> scheduler.schedule(FULL_WAIT_MS, () -> giveUp(request)));
+    } else if (!requests.isEmpty() && links() == 0 && wasOpening) {
       refuseAll(cause);
     } else if (!requests.isEmpty()) {
       growFor(1);
@@ -298,6 +316,7 @@
         Fault fault = reply.fault().get();
         if (fault.code() == ResultCode.TARGET_CONNECTIONS_FULL) {
           noGrowthUntilMs = scheduler.nowMs() + FULL_PAUSE_MS;
+          scheduler.schedule(FULL_PAUSE_MS, TargetPool.this::growAgain);
         }
         pooled.abandon(fault);
         return;
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -15,6 +15,11 @@
   private static final long LAGGING_PAUSE_MS = 150;
   private static final long OVERDUE_PAUSE_MS = 1_000;
 
+  /** A lost packet is sent again after about 200 ms; no answer after this time is silence. */
+  private static final long SILENCE_MS = 350;
+
+  private static final long DOUBT_MS = 60;
+
   private Target target;
   private final TargetPool pool;
   private long claimedAtRevision;
@@ -24,6 +29,7 @@
   private long notPrimaryUntilRevision = Long.MIN_VALUE;
   private long provenTerm;
   private long lastAnswerMs = Long.MIN_VALUE;
+  private long overdueSinceMs = Long.MIN_VALUE;
   private LogPosition applied = LogPosition.ORIGIN;
   private Suspicion suspicion;
 
@@ -101,12 +107,28 @@
   }
 
   /**
-   * Returns what speaks for the target being gone.
+   * Returns whether the target refuses connections, or has not answered for too long a question
+   * that costs it no work.
    *
-   * @return the suspicion
+   * @param nowMs the present time, in milliseconds
+   * @return true if so
    */
-  public Suspicion suspicion() {
-    return suspicion;
+  public boolean isGone(long nowMs) {
+    return suspicion.refused() || waitedMs(nowMs) >= SILENCE_MS;
+  }
+
+  /**
+   * Returns whether an answer of the target is late, so that it should be asked again.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @return true if so
+   */
+  public boolean isDoubtful(long nowMs) {
+    return suspicion.refused() || waitedMs(nowMs) >= DOUBT_MS || overdueSinceMs > lastAnswerMs;
+  }
+
+  private long waitedMs(long nowMs) {
+    return suspicion.askedMs() == Suspicion.NOT_ASKED ? 0 : nowMs - suspicion.askedMs();
   }
 
   /**
@@ -150,6 +172,7 @@
    */
   public void overdue(long nowMs) {
     avoidUntilMs = nowMs + OVERDUE_PAUSE_MS;
+    overdueSinceMs = nowMs;
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -153,7 +153,7 @@
     return of(service).stream()
         .filter(TargetHandle::isPrimary)
         .max(
-            Comparator.comparing((TargetHandle handle) -> !handle.suspicion().isGone(nowMs))
+            Comparator.comparing((TargetHandle handle) -> !handle.isGone(nowMs))
                 .thenComparingLong(TargetHandle::provenTerm)
                 .thenComparingLong(TargetHandle::claimedAtRevision));
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -221,6 +221,24 @@
     assertEquals(3, links.opened().size());
   }
 
+  /** Answers the load after a loss of power, while connections of dead VMs fill the target. */
+  @Test
+  void shouldTryAgainSoonAndRefuseOnlyAfterWaitWhenTargetIsFull() {
+    Wish first = ask(ALICE, 0);
+    links.opened().getLast().reject(ResultCode.TARGET_CONNECTIONS_FULL);
+    assertTrue(first.refused.isEmpty());
+
+    scheduler.advanceMs(TargetPool.FULL_PAUSE_MS);
+    links.opened().getLast().reject(ResultCode.TARGET_CONNECTIONS_FULL);
+    scheduler.advanceMs(TargetPool.FULL_WAIT_MS - TargetPool.FULL_PAUSE_MS);
+    assertEquals(ResultCode.NO_CONNECTION, first.refused.getFirst().code());
+
+    Wish second = ask(ALICE, 0);
+    scheduler.advanceMs(TargetPool.FULL_PAUSE_MS);
+    links.opened().getLast().greet();
+    assertEquals(1, second.granted.size());
+  }
+
   @Test
   void shouldCloseConnectionsBeyondTheIdleShareSoonerWhenNothingNeedsThem() {
     final PooledLink first = open(ALICE);
