--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -237,8 +237,9 @@
         .write(
             new StatementJournal.Entry(
                 work,
-                latest == null ? "-" : latest.target().target().id(),
-                latest == null ? "-" : latest.floor().map(LogPosition::toString).orElse("-"),
+                Optional.ofNullable(latest).map(leg -> leg.target().target().id()),
+                Optional.ofNullable(latest).flatMap(Leg::floor),
+                dispatch.positions().of(work.route().service()).newestAgeMs(now()),
                 legs.size(),
                 now() - startedMs,
                 fault));
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.metrics.GatewayMetrics;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.Optional;
@@ -21,9 +22,25 @@
 
   private static final long WINDOW_MS = 1_000;
 
-  /** How a statement ended, and on what that rested. */
+  /**
+   * How a statement ended, and on what that rested.
+   *
+   * @param work the statement
+   * @param target the identifier of the last target, or empty if none was asked
+   * @param floor the position that the statement had to see
+   * @param proofAgeMs the age of the newest proven position, in milliseconds
+   * @param tries the targets that were asked
+   * @param tookMs how long it took, in milliseconds
+   * @param fault why it has no answer
+   */
   public record Entry(
-      Work work, String target, String floor, int tries, long tookMs, Optional<Fault> fault) {}
+      Work work,
+      Optional<String> target,
+      Optional<LogPosition> floor,
+      long proofAgeMs,
+      int tries,
+      long tookMs,
+      Optional<Fault> fault) {}
 
   private final Scheduler scheduler;
   private final GatewayMetrics metrics;
@@ -78,9 +95,11 @@
         "writes",
         entry.work().writes(),
         "target",
-        entry.target(),
+        entry.target().orElse("-"),
         "floor",
-        entry.floor(),
+        entry.floor().map(StatementJournal::text).orElse("-"),
+        "proof_age_ms",
+        entry.proofAgeMs() == Long.MAX_VALUE ? "-" : entry.proofAgeMs(),
         "configuration",
         configurationVersion,
         "tries",
@@ -97,6 +116,10 @@
         dropped);
   }
 
+  private static String text(LogPosition position) {
+    return position.term() + "." + position.offset();
+  }
+
   private static final class Budget {
     private long windowStartMs = Long.MIN_VALUE;
     private int used;
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -410,8 +410,9 @@
         .write(
             new StatementJournal.Entry(
                 ended.work,
-                target == null ? "-" : target.target().id(),
-                floor.map(LogPosition::toString).orElse("-"),
+                Optional.ofNullable(target).map(handle -> handle.target().id()),
+                floor,
+                dispatch.positions().of(route.service()).newestAgeMs(now()),
                 ended.tries,
                 now() - ended.startedMs,
                 fault));
