Begin transactions in one place

The beginning of a transaction on a target stood twice, for transactions and for reads of the latest data.

--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
@@ -0,0 +1,138 @@
+package io.lycheejunction.gateway.dispatch;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.link.LinkReply;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.pool.LinkRequest;
+import io.lycheejunction.gateway.pool.LinkResult;
+import io.lycheejunction.gateway.pool.PooledLink;
+import io.lycheejunction.gateway.target.TargetHandle;
+import java.util.Optional;
+
+/**
+ * One attempt to begin a transaction on one target.
+ *
+ * <p>With a floor the transaction only reads, and the target refuses it if its log lacks the floor.
+ * Without one the target refuses it unless it leads, so the confirmation proves its position.
+ */
+final class BeginAttempt {
+
+  /** Is told once how the attempt ended. */
+  interface Listener {
+
+    /** The target has begun the transaction on the connection. */
+    void begun(PooledLink link);
+
+    /** The target has not begun it. */
+    void refused(Fault fault);
+  }
+
+  private final Dispatch dispatch;
+  private final Work work;
+  private final TargetHandle target;
+  private final Optional<LogPosition> floor;
+  private final Listener listener;
+  private LinkRequest request;
+  private PooledLink link;
+  private long sentMs;
+
+  BeginAttempt(
+      Dispatch dispatch,
+      Work work,
+      TargetHandle target,
+      Optional<LogPosition> floor,
+      Listener listener) {
+    this.dispatch = dispatch;
+    this.work = work;
+    this.target = target;
+    this.floor = floor;
+    this.listener = listener;
+  }
+
+  /** Starts the attempt; a connection is waited for until the given time. */
+  void start(long untilMs) {
+    request =
+        new Reach(
+            work.session(), work.route().priority(), untilMs, this::onGranted, this::onNoLink);
+    target.pool().acquire(request);
+  }
+
+  /** Ends the attempt; its listener is told nothing. */
+  void cancel(Fault cause) {
+    if (request != null) {
+      target.pool().cancel(request);
+      request = null;
+    }
+    PooledLink used = link;
+    link = null;
+    if (used != null) {
+      used.abandon(cause);
+    }
+  }
+
+  private void onGranted(PooledLink granted) {
+    request = null;
+    link = granted;
+    sentMs = now();
+    target.asked(sentMs);
+    TargetCommand begin =
+        new TargetCommand.Run(
+            Optional.empty(), floor, new CallerStatement.Begin(floor.isPresent()));
+    granted.run(work.session(), begin, result -> onResult(granted, result));
+    dispatch.scheduler().schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onOverdue(granted));
+  }
+
+  private void onNoLink(Fault fault) {
+    request = null;
+    refuse(fault);
+  }
+
+  private void onOverdue(PooledLink used) {
+    if (link == used) {
+      used.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered"));
+    }
+  }
+
+  private void onResult(PooledLink used, LinkResult result) {
+    if (link != used) {
+      return;
+    }
+    link = null;
+    switch (result) {
+      case LinkResult.Lost lost -> refuse(lost.cause());
+      case LinkResult.Replied replied -> onReply(used, replied.reply());
+    }
+  }
+
+  private void onReply(PooledLink used, LinkReply reply) {
+    target.heard(now());
+    if (reply.isDone() && reply.state() == TransactionState.OPEN) {
+      if (floor.isEmpty()) {
+        dispatch.recordProof(target, reply, sentMs);
+      }
+      listener.begun(used);
+      return;
+    }
+    Fault fault =
+        reply.fault().orElse(Fault.of(ResultCode.TARGET_UNREACHABLE, "no transaction was begun"));
+    if (reply.state() == TransactionState.NONE && !reply.isDone()) {
+      used.release();
+    } else {
+      used.abandon(fault);
+    }
+    refuse(fault);
+  }
+
+  private void refuse(Fault fault) {
+    target.failed(fault, now());
+    listener.refused(fault);
+  }
+
+  private long now() {
+    return dispatch.scheduler().nowMs();
+  }
+}
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
@@ -61,13 +62,20 @@
   }
 
   /**
-   * Records what a target's refusal says about it.
+   * Records the position that a target has shown while it was proven to lead.
    *
    * @param handle the target
-   * @param fault the refusal
+   * @param reply its answer
+   * @param askedMs the time at which the question was sent, in milliseconds
    */
-  void noteFault(TargetHandle handle, Fault fault) {
-    handle.failed(fault, scheduler.nowMs());
+  void recordProof(TargetHandle handle, LinkReply reply, long askedMs) {
+    reply
+        .position()
+        .ifPresent(
+            position -> {
+              handle.leads(position.term());
+              positions.of(handle.target().service()).record(askedMs, position);
+            });
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
@@ -1,12 +1,8 @@
 package io.lycheejunction.gateway.dispatch;
 
 import io.lycheejunction.core.result.Fault;
-import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.link.LinkReply;
-import io.lycheejunction.gateway.link.TargetCommand;
-import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.pool.LinkRequest;
 import io.lycheejunction.gateway.pool.LinkResult;
 import io.lycheejunction.gateway.pool.PooledLink;
@@ -20,7 +16,7 @@
  * floor. A read without one is sent inside a transaction of the gateway's own, after the target has
  * confirmed its beginning and so that it leads. A write is sent at once.
  */
-final class Leg {
+final class Leg implements BeginAttempt.Listener {
 
   /** Is told once how the attempt ended. */
   interface Listener {
@@ -40,6 +36,7 @@
   private final TargetHandle target;
   private final Optional<LogPosition> floor;
   private final Listener listener;
+  private Optional<BeginAttempt> beginning = Optional.empty();
   private LinkRequest request;
   private PooledLink link;
   private long sentMs;
@@ -76,88 +73,58 @@
   }
 
   void start(long untilMs) {
+    if (!work.writes() && floor.isEmpty()) {
+      BeginAttempt attempt = new BeginAttempt(dispatch, work, target, floor, this);
+      beginning = Optional.of(attempt);
+      attempt.start(untilMs);
+      return;
+    }
     request =
-        new Reach(
-            work.session(), work.route().priority(), untilMs, this::onGranted, this::onNoLink);
+        new Reach(work.session(), work.route().priority(), untilMs, this::onGranted, this::refused);
     target.pool().acquire(request);
   }
 
-  /** Gives up the wish for a connection; one that is in use is left to end. */
-  void detach() {
+  /** Ends the attempt now; its listener is told nothing. */
+  void abandon(Fault cause) {
+    if (ended) {
+      return;
+    }
+    ended = true;
+    beginning.ifPresent(attempt -> attempt.cancel(cause));
     if (request != null) {
       target.pool().cancel(request);
       request = null;
-      ended = true;
     }
-  }
-
-  /** Ends the attempt now; its listener is told nothing. */
-  void abandon(Fault cause) {
-    detach();
-    if (link != null) {
-      PooledLink used = link;
-      link = null;
-      ended = true;
+    PooledLink used = link;
+    link = null;
+    if (used != null) {
       used.abandon(cause);
     }
   }
 
-  private void onGranted(PooledLink granted) {
-    request = null;
-    link = granted;
-    sentMs = now();
-    if (work.writes() || floor.isPresent()) {
-      sendStatement(false);
-      return;
-    }
-    target.asked(sentMs);
-    granted.run(
-        work.session(),
-        TargetCommand.own(new CallerStatement.Begin(false)),
-        result -> onBegun(granted, result));
-    dispatch.scheduler().schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
-  }
-
-  private void onBeginOverdue(PooledLink used) {
-    if (link == used && !sent) {
-      used.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered"));
-    }
+  @Override
+  public void begun(PooledLink begunOn) {
+    beginning = Optional.empty();
+    send(begunOn, true);
   }
 
-  private void onNoLink(Fault fault) {
+  @Override
+  public void refused(Fault fault) {
     request = null;
-    endRefused(fault);
-  }
-
-  private void onBegun(PooledLink begun, LinkResult result) {
-    if (link != begun) {
-      return;
-    }
-    switch (result) {
-      case LinkResult.Lost lost -> endRefused(lost.cause());
-      case LinkResult.Replied replied -> onBeginReply(begun, replied.reply());
-    }
+    beginning = Optional.empty();
+    ended = true;
+    target.failed(fault, now());
+    listener.refused(this, fault);
   }
 
-  private void onBeginReply(PooledLink begun, LinkReply reply) {
-    target.heard(now());
-    if (reply.fault().isPresent()) {
-      begun.release();
-      endRefused(reply.fault().get());
-      return;
-    }
-    if (reply.state() != TransactionState.OPEN) {
-      Fault fault = Fault.of(ResultCode.TARGET_UNREACHABLE, "no transaction was begun");
-      begun.abandon(fault);
-      endRefused(fault);
-      return;
-    }
-    reply.position().ifPresent(this::recordProof);
-    sendStatement(true);
+  private void onGranted(PooledLink granted) {
+    request = null;
+    send(granted, false);
   }
 
-  private void sendStatement(boolean rollBack) {
-    PooledLink used = link;
+  private void send(PooledLink used, boolean rollBack) {
+    link = used;
+    sentMs = now();
     sent = true;
     work.send(used, floor, rollBack, result -> onResult(used, result));
   }
@@ -181,7 +148,7 @@
     if (reply.fault().isPresent()) {
       Fault fault = reply.fault().get();
       if (fault.isNotRun()) {
-        endRefused(fault);
+        refused(fault);
       } else {
         endBroken(fault);
       }
@@ -189,30 +156,18 @@
     }
     target.answered(now() - sentMs, Work.positionOf(reply), now());
     if (work.writes()) {
-      reply.position().ifPresent(this::recordProof);
+      dispatch.recordProof(target, reply, sentMs);
     }
     ended = true;
     listener.answered(this, reply);
   }
 
-  private void endRefused(Fault fault) {
-    link = null;
-    ended = true;
-    target.failed(fault, now());
-    listener.refused(this, fault);
-  }
-
   private void endBroken(Fault fault) {
     ended = true;
     target.failed(fault, now());
     listener.broken(this, fault);
   }
 
-  private void recordProof(LogPosition position) {
-    target.leads(position.term());
-    dispatch.positions().of(work.route().service()).record(sentMs, position);
-  }
-
   private long now() {
     return dispatch.scheduler().nowMs();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -63,7 +63,7 @@
     cancelled = true;
     if (!ended && legs.stream().noneMatch(Leg::isSent)) {
       finish();
-      legs.forEach(Leg::detach);
+      legs.forEach(leg -> leg.abandon(Fault.of(ResultCode.CANCELLED, "the caller has gone")));
     }
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -5,9 +5,7 @@
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.link.LinkReply;
-import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
-import io.lycheejunction.gateway.pool.LinkRequest;
 import io.lycheejunction.gateway.pool.LinkResult;
 import io.lycheejunction.gateway.pool.PooledLink;
 import io.lycheejunction.gateway.route.ReadRule;
@@ -31,7 +29,7 @@
   private final Set<String> tried = new HashSet<>();
   private TargetHandle target;
   private PooledLink link;
-  private LinkRequest request;
+  private Optional<BeginAttempt> beginning = Optional.empty();
   private Run run;
   private Optional<LogPosition> floor = Optional.empty();
   private boolean begun;
@@ -116,10 +114,7 @@
   public void rollBack() {
     failed = true;
     left = true;
-    if (request != null) {
-      target.pool().cancel(request);
-      request = null;
-    }
+    cancelBeginning(Fault.of(ResultCode.CANCELLED, "the caller has gone"));
     if (run != null && link == null) {
       endRun();
     }
@@ -156,14 +151,9 @@
       return;
     }
     target = chosen.get();
-    request =
-        new Reach(
-            run.work.session(),
-            route.priority(),
-            run.startedMs + route.statementTimeoutMs(),
-            this::onGranted,
-            this::onRefused);
-    target.pool().acquire(request);
+    BeginAttempt attempt = new BeginAttempt(dispatch, run.work, target, floor, new Beginning());
+    beginning = Optional.of(attempt);
+    attempt.start(run.startedMs + route.statementTimeoutMs());
   }
 
   private void waitForPrimary() {
@@ -208,76 +198,22 @@
         .floor(route.service(), route.readRule(), run.work.sessionCommit(), now());
   }
 
-  private void onGranted(PooledLink granted) {
-    request = null;
-    link = granted;
-    run.sentMs = now();
-    target.asked(run.sentMs);
-    TargetCommand begin =
-        new TargetCommand.Run(
-            Optional.empty(), floor, new CallerStatement.Begin(floor.isPresent()));
-    granted.run(run.work.session(), begin, result -> onBegun(granted, result));
-    dispatch.scheduler().schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onBeginOverdue(granted));
-  }
-
-  private void onRefused(Fault fault) {
-    request = null;
-    retryBegin(fault);
-  }
+  private final class Beginning implements BeginAttempt.Listener {
 
-  private void onBeginOverdue(PooledLink used) {
-    if (link == used && !begun) {
-      used.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered"));
-    }
-  }
-
-  private void onBegun(PooledLink used, LinkResult result) {
-    if (link != used) {
-      return;
-    }
-    switch (result) {
-      case LinkResult.Lost lost -> {
-        link = null;
-        retryBegin(lost.cause());
-      }
-      case LinkResult.Replied replied -> onBeginReply(replied.reply());
-    }
-  }
-
-  private void onBeginReply(LinkReply reply) {
-    target.heard(now());
-    if (reply.fault().isPresent() || reply.state() != TransactionState.OPEN) {
-      PooledLink used = link;
-      link = null;
-      Fault fault =
-          reply.fault().orElse(Fault.of(ResultCode.TARGET_UNREACHABLE, "no transaction was begun"));
-      if (reply.state() == TransactionState.NONE && reply.fault().isPresent()) {
-        used.release();
-      } else {
-        used.abandon(fault);
-      }
-      retryBegin(fault);
-      return;
-    }
-    begun = true;
-    if (floor.isEmpty()) {
-      recordProof(reply, run.sentMs);
-    }
-    if (left) {
-      releaseLink();
-      return;
+    @Override
+    public void begun(PooledLink begunOn) {
+      beginning = Optional.empty();
+      link = begunOn;
+      begun = true;
+      sendStatement();
     }
-    sendStatement();
-  }
 
-  private void retryBegin(Fault fault) {
-    dispatch.noteFault(target, fault);
-    tried.add(target.target().id());
-    if (left) {
-      endRun();
-      return;
+    @Override
+    public void refused(Fault fault) {
+      beginning = Optional.empty();
+      tried.add(target.target().id());
+      beginNext();
     }
-    beginNext();
   }
 
   private void sendStatement() {
@@ -308,7 +244,7 @@
     Run ended = run;
     target.answered(now() - ended.sentMs, Work.positionOf(reply), now());
     if (isCommit(ended) && wrote && reply.isDone()) {
-      recordProof(reply, ended.sentMs);
+      dispatch.recordProof(target, reply, ended.sentMs);
     }
     failed = failed || reply.state() == TransactionState.FAILED;
     journal(ended, reply.fault());
@@ -328,7 +264,7 @@
   }
 
   private void onLost(Fault cause) {
-    dispatch.noteFault(target, cause);
+    target.failed(cause, now());
     link = null;
     if (isCommit(run) && wrote) {
       fail(Fault.of(ResultCode.UNKNOWN_OUTCOME, "connection ended before the commit's answer"));
@@ -343,10 +279,7 @@
     if (run != expired) {
       return;
     }
-    if (request != null) {
-      target.pool().cancel(request);
-      request = null;
-    }
+    cancelBeginning(Fault.of(ResultCode.DEADLINE_EXCEEDED, "time limit before the beginning"));
     boolean sentBefore = expired.sent;
     PooledLink used = link;
     link = null;
@@ -377,6 +310,11 @@
     }
   }
 
+  private void cancelBeginning(Fault cause) {
+    beginning.ifPresent(attempt -> attempt.cancel(cause));
+    beginning = Optional.empty();
+  }
+
   private void endRun() {
     run.limit.cancel();
     run = null;
@@ -394,16 +332,6 @@
     return run.work.statement() instanceof CallerStatement.Commit;
   }
 
-  private void recordProof(LinkReply reply, long askedMs) {
-    reply
-        .position()
-        .ifPresent(
-            position -> {
-              target.leads(position.term());
-              dispatch.positions().of(route.service()).record(askedMs, position);
-            });
-  }
-
   private void journal(Run ended, Optional<Fault> fault) {
     dispatch
         .journal()
