--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -35,6 +35,7 @@
   private final Optional<TargetHandle> previous;
   private final boolean stepsDown;
   private final Set<String> rejected = new HashSet<>();
+  private final List<Candidate> answered = new ArrayList<>();
   private long token;
   private long tokenTakenMs;
   private long startedMs;
@@ -105,12 +106,11 @@
   }
 
   private void stepDown(TargetHandle primary) {
-    long term = Math.max(1, failover.positions().of(service).newestTerm() + 1);
     StatusRound.start(
         failover.scheduler(),
         failover.links(),
         List.of(primary),
-        new TargetCommand.StepDown(term),
+        new TargetCommand.StepDown(nextTerm()),
         STEP_DOWN_TIMEOUT_MS,
         answers -> {
           answers.forEach(answer -> mustHave = mustHave.max(answer.received()));
@@ -129,6 +129,9 @@
   }
 
   private void choose() {
+    if (ended) {
+      return;
+    }
     List<TargetHandle> candidates = new ArrayList<>();
     for (TargetHandle handle : failover.targets().of(service)) {
       boolean isPrevious = previous.isPresent() && previous.get() == handle;
@@ -142,38 +145,79 @@
         failover.scheduler(),
         failover.links(),
         candidates,
-        new TargetCommand.AskStatus(),
+        question(),
         STATUS_TIMEOUT_MS,
         this::onStatuses);
   }
 
+  /**
+   * Returns what candidates are asked.
+   *
+   * <p>Where commits are acknowledged after replicas have received them, replicas stop receiving
+   * with the question, so that nothing more is acknowledged once enough of them have answered.
+   */
+  private TargetCommand question() {
+    return isSynchronous()
+        ? new TargetCommand.StopReceiving(nextTerm())
+        : new TargetCommand.AskStatus();
+  }
+
+  private boolean isSynchronous() {
+    return failover.targets().syncReplicasOf(service) > 0;
+  }
+
+  private long nextTerm() {
+    return Math.max(1, failover.positions().of(service).newestTerm() + 1);
+  }
+
   private void onStatuses(List<Candidate> answers) {
     if (ended) {
       return;
     }
+    answered.addAll(answers);
+    Optional<Candidate> leader = answers.stream().filter(Candidate::primary).findFirst();
+    if (leader.isPresent()) {
+      leader.get().handle().leads(leader.get().term());
+      end("another target leads already");
+      return;
+    }
     Optional<Candidate> best = answers.stream().max(Candidate.BY_POSITION);
+    logCandidates(answers, best);
+    boolean enough = answers.size() >= neededAnswers();
+    boolean behind = best.isEmpty() || !best.get().received().isAtLeast(mustHave);
+    if ((!enough || behind) && now() - startedMs < CATCH_UP_MS) {
+      failover.scheduler().schedule(CATCH_UP_STEP_MS, this::choose);
+    } else if (enough) {
+      order(best.get().handle());
+    } else {
+      end("too few candidates answer");
+    }
+  }
+
+  /** Returns how many replicas must answer, so that every acknowledged commit is among theirs. */
+  private int neededAnswers() {
+    if (!isSynchronous()) {
+      return 1;
+    }
+    int replicas = failover.targets().of(service).size() - 1;
+    return Math.max(1, replicas - failover.targets().syncReplicasOf(service) + 1);
+  }
+
+  private void logCandidates(List<Candidate> answers, Optional<Candidate> best) {
     LOG.info(
         "failover_candidates",
         "service",
         service,
         "answers",
         answers.size(),
+        "needed",
+        neededAnswers(),
         "best",
         best.map(candidate -> candidate.handle().target().id()).orElse("-"),
         "received",
         best.map(candidate -> candidate.received().toString()).orElse("-"),
         "must_have",
         mustHave);
-    if (best.isEmpty()) {
-      end("no candidate answers");
-      return;
-    }
-    boolean behind = !best.get().received().isAtLeast(mustHave);
-    if (behind && now() - startedMs < CATCH_UP_MS) {
-      failover.scheduler().schedule(CATCH_UP_STEP_MS, this::choose);
-      return;
-    }
-    order(best.get().handle());
   }
 
   private void order(TargetHandle chosen) {
@@ -245,9 +289,25 @@
             });
   }
 
+  /** Undoes the order to stop receiving, for replicas that were not promoted. */
+  private void letReceiveAgain() {
+    Set<TargetHandle> stopped = new HashSet<>();
+    answered.forEach(candidate -> stopped.add(candidate.handle()));
+    StatusRound.start(
+        failover.scheduler(),
+        failover.links(),
+        List.copyOf(stopped),
+        new TargetCommand.ReceiveAgain(),
+        STATUS_TIMEOUT_MS,
+        answers -> {});
+  }
+
   private void end(String outcome) {
     if (!ended) {
       ended = true;
+      if (isSynchronous()) {
+        letReceiveAgain();
+      }
       LOG.info(
           "failover_ended",
           "service",
--- a/gateway/src/main/java/io/lycheejunction/gateway/link/TargetCommand.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/TargetCommand.java
@@ -31,6 +31,16 @@
   /** Asks for the target's role, term and position. */
   record AskStatus() implements TargetCommand {}
 
+  /**
+   * Orders a replica to receive nothing more of the present primary; its answer is a status.
+   *
+   * @param term the term that follows the primary's
+   */
+  record StopReceiving(long term) implements TargetCommand {}
+
+  /** Lets a replica receive again. */
+  record ReceiveAgain() implements TargetCommand {}
+
   /**
    * Orders a primary of a lower term to become a replica.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -228,6 +228,17 @@
     byId.values().forEach(handle -> handle.pool().limit(shareOf(handle.target().service())));
   }
 
+  /**
+   * Returns how many replicas have received a commit of a service before it is acknowledged.
+   *
+   * @param service the service
+   * @return the number; 0 if it is not known
+   */
+  public int syncReplicasOf(String service) {
+    ServiceLimits limits = serviceLimits.get(service);
+    return limits == null ? 0 : limits.syncReplicas();
+  }
+
   private ConnectionShare shareOf(String service) {
     ServiceLimits limits = serviceLimits.get(service);
     return ConnectionShare.of(limits == null ? 0 : limits.maxConnections(), vmCount);
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -1,6 +1,9 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
+import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.target.Target;
 import java.util.ArrayList;
 import java.util.List;
@@ -99,6 +102,17 @@
     if (link.sent().isEmpty()) {
       link.greet();
     }
-    link.done(io.lycheejunction.gateway.link.TransactionState.NONE, 1, offset);
+    link.done(TransactionState.NONE, 1, offset);
+  }
+
+  /** Answers all pending commands of a replica, and returns them. */
+  List<TargetCommand> answerAll(String id, long offset) {
+    List<TargetCommand> answered = new ArrayList<>();
+    for (FakeLink link : group.links.to(id)) {
+      while (!link.sent().isEmpty()) {
+        answered.add(link.done(TransactionState.NONE, 1, offset));
+      }
+    }
+    return answered;
   }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -6,8 +6,11 @@
 
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ServiceLimits;
 import io.lycheejunction.gateway.target.TestTargets;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -145,6 +148,34 @@
     fixture.orders.getFirst().done().accept(ACCEPTED);
   }
 
+  @Test
+  void shouldStopReplicasAndNeedAllOfThemWhenCommitsAreSynchronous() {
+    fixture.group.targets.share(
+        Map.of(TestTargets.SERVICE, new ServiceLimits(21, 1)), fixture.board.presentVms().size());
+    startRun();
+    fixture.answerStatus("i-2", 7);
+    TargetCommand sent = fixture.group.links.last("i-3").greet().sent().getFirst();
+    assertEquals(new TargetCommand.StopReceiving(1), sent);
+
+    List<TargetCommand> later = new ArrayList<>();
+    for (int step = 0; step < 60; step++) {
+      fixture.group.scheduler.advanceMs(25);
+      later.addAll(fixture.answerAll("i-2", 7));
+    }
+
+    assertTrue(fixture.orders.isEmpty());
+    assertTrue(later.contains(new TargetCommand.ReceiveAgain()));
+  }
+
+  @Test
+  void shouldOrderTheReplicaThatHasReceivedMostWhenAllSynchronousOnesAnswer() {
+    fixture.group.targets.share(
+        Map.of(TestTargets.SERVICE, new ServiceLimits(21, 1)), fixture.board.presentVms().size());
+    runUntilOrdered();
+
+    assertEquals("i-3", fixture.orders.getFirst().target());
+  }
+
   @Test
   void shouldVoteThatThePrimaryAnswersWhenAnotherVmMissesIt() {
     fixture.watch.look();
