--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/ConnectionShare.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/ConnectionShare.java
@@ -16,7 +16,8 @@
    * Returns the share of one VM.
    *
    * <p>Connections of a VM that has lost power stay open at the target for seconds, so half of the
-   * target's connections are left free where nothing needs them.
+   * target's connections are left free where nothing needs them. Where there are more VMs than
+   * that, none is kept: VMs take turns.
    *
    * @param maxConnections the connections that a target accepts from all VMs together; 0 if that is
    *     not known
@@ -29,7 +30,7 @@
     }
     int count = Math.max(1, vms);
     int most = Math.max(1, (maxConnections - RESERVED) / count);
-    int idle = Math.max(1, maxConnections / (2 * count));
+    int idle = maxConnections / (2 * count);
     return new ConnectionShare(most, Math.min(most, idle));
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -35,6 +35,7 @@
 
   private static final long IDLE_MS = 20_000;
   private static final long EXTRA_IDLE_MS = 2_000;
+  private static final long TURN_MS = 300;
 
   private final Target target;
   private final TargetLinks links;
@@ -175,12 +176,19 @@
     for (PooledLink link : List.copyOf(idle)) {
       kept++;
       long idleMs = scheduler.nowMs() - link.idleSinceMs();
-      if (idleMs > (kept > share.idle() ? EXTRA_IDLE_MS : IDLE_MS)) {
+      if (idleMs >= idleLimitMs(kept)) {
         link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "idle"));
       }
     }
   }
 
+  private long idleLimitMs(int kept) {
+    if (kept <= share.idle()) {
+      return IDLE_MS;
+    }
+    return share.idle() == 0 ? TURN_MS : EXTRA_IDLE_MS;
+  }
+
   void release(PooledLink link) {
     if (!busy.remove(link) || link.isClosed()) {
       return;
@@ -238,6 +246,9 @@
     if (requests.isEmpty()) {
       link.idleSince(scheduler.nowMs());
       idle.addFirst(link);
+      if (share.idle() == 0) {
+        scheduler.schedule(TURN_MS, this::closeIdle);
+      }
       return;
     }
     busy.add(link);
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -255,6 +255,18 @@
     assertEquals(0, pool.links());
   }
 
+  /** Answers the load of more VMs than a target takes connections: they take turns. */
+  @Test
+  void shouldCloseIdleConnectionsAtTheEndOfTheTurnWhenNoneIsKept() {
+    final PooledLink link = open(ALICE);
+    pool.limit(new ConnectionShare(1, 0));
+    link.release();
+
+    scheduler.advanceMs(300);
+
+    assertEquals(0, pool.links());
+  }
+
   @Test
   void shouldCloseIdleConnectionsWhenTheShareShrinks() {
     final PooledLink first = open(ALICE);
