Count votes by failure domain, and ask a target that does not accept connections

Changes: silent VMs count in their own failure domain; a connection that starts to open is a question; a VM is isolated once it misses the store and half of the primaries.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -44,7 +44,7 @@
   }
 
   /**
-   * Returns whether this VM reaches neither the store nor any primary, while others may.
+   * Returns whether this VM reaches neither the store nor most primaries, while others may.
    *
    * @return true if callers are served better elsewhere
    */
@@ -53,11 +53,15 @@
         && failover.scheduler().nowMs() - isolatedSinceMs >= ISOLATED_MS;
   }
 
+  private long missedPrimaries() {
+    return watches.values().stream().filter(watch -> !watch.reachesPrimary()).count();
+  }
+
   private void noteIsolation() {
     boolean isolated =
         !watches.isEmpty()
             && !failover.board().isReachable()
-            && watches.values().stream().noneMatch(ServiceWatch::reachesPrimary);
+            && missedPrimaries() * 2 >= watches.size();
     if (isolated == (isolatedSinceMs != NOT_ISOLATED)) {
       return;
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -18,7 +18,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** Watches the primary of one service, and starts to replace it when it is gone or leaves. */
 final class ServiceWatch {
@@ -191,12 +190,9 @@
     votes.stream()
         .filter(vote -> vote.primary().equals(primary))
         .forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
-    long voted = votes.stream().filter(vote -> vote.primary().equals(primary)).count();
     boolean registered =
         failover.targets().find(primary).isPresent() && !failover.targets().isMissing(primary);
-    PreVote.Outcome outcome =
-        Judgement.of(
-            Set.copyOf(vms.values()), primary, votes, vms.size() - (int) voted, registered);
+    PreVote.Outcome outcome = Judgement.of(vms, primary, votes, registered);
     if (outcome == PreVote.Outcome.GRANTED) {
       startOnceAfter(OBJECTION_MS, "gone", handle, false);
     } else {
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -40,6 +40,7 @@
   private final Target target;
   private final TargetLinks links;
   private final Scheduler scheduler;
+  private final Runnable onOpening;
   private final Consumer<Fault> onFault;
   private final Deque<PooledLink> idle = new ArrayDeque<>();
   private final Set<PooledLink> busy = new HashSet<>();
@@ -56,6 +57,7 @@
    * @param links opens connections
    * @param scheduler the gateway's clock
    * @param share how many connections to hold
+   * @param onOpening is called when a connection starts to open
    * @param onFault is told of connections that fail
    */
   public TargetPool(
@@ -63,11 +65,13 @@
       TargetLinks links,
       Scheduler scheduler,
       ConnectionShare share,
+      Runnable onOpening,
       Consumer<Fault> onFault) {
     this.target = target;
     this.links = links;
     this.scheduler = scheduler;
     this.share = share;
+    this.onOpening = onOpening;
     this.onFault = onFault;
   }
 
@@ -297,6 +301,7 @@
   private void open() {
     PooledLink pooled = new PooledLink(this);
     opening.add(pooled);
+    onOpening.run();
     pooled.attach(links.open(target, new Listener(pooled)));
     scheduler.schedule(OPEN_TIMEOUT_MS, () -> giveUpOpening(pooled));
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -208,6 +208,7 @@
             links,
             scheduler,
             shareOf(target.service()),
+            () -> onOpening(target.id()),
             fault -> onConnectFault(target.id(), fault));
     return new TargetHandle(target, pool, scheduler.nowMs());
   }
@@ -244,6 +245,11 @@
     return ConnectionShare.of(limits == null ? 0 : limits.maxConnections(), vmCount);
   }
 
+  /** A target answers a new connection without any work of the caller's. */
+  private void onOpening(String id) {
+    find(id).ifPresent(handle -> handle.asked(scheduler.nowMs()));
+  }
+
   private void onConnectFault(String id, Fault fault) {
     find(id).ifPresent(handle -> handle.connectFailed(fault, scheduler.nowMs()));
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -4,8 +4,10 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.lycheejunction.gateway.dispatch.DispatchFixture;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.ServiceLimits;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
@@ -190,6 +192,17 @@
     assertFalse(fixture.board.own.getFirst().gone());
   }
 
+  /** Answers a primary that went dark while no connection to it was open. */
+  @Test
+  void shouldVoteSoonWhenConnectionIsNotAccepted() {
+    fixture.group.run(new ReadRule.Latest(), DispatchFixture.read());
+
+    fixture.group.scheduler.advanceMs(350);
+    fixture.watch.look();
+
+    assertTrue(fixture.board.own.getFirst().gone());
+  }
+
   @Test
   void shouldBeIsolatedOnlyWhenNeitherTheStoreNorPrimaryIsReached() {
     fixture.crashPrimary();
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -71,6 +71,7 @@
           links,
           scheduler,
           new ConnectionShare(2, 1),
+          () -> {},
           connectFaults::add);
 
   private Wish ask(SessionState session, int priority) {
