Ask the primary at once when a statement is overdue, beyond the share if need be

Change: an overdue answer of any statement makes the watch look and ask at once; a question may open one connection more than the share.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -18,6 +18,7 @@
  * @param placement chooses targets of reads
  * @param gate holds statements while a group has no primary
  * @param hedging decides about second tries of reads
+ * @param doubts are raised by overdue answers
  * @param journal writes down decisions
  */
 public record Dispatch(
@@ -27,6 +28,7 @@
     Placement placement,
     PrimaryGate gate,
     Hedging hedging,
+    Doubts doubts,
     StatementJournal journal) {
   /** How often a statement that has not run is tried. */
   static final int MAX_TRIES = 4;
@@ -48,6 +50,7 @@
     Objects.requireNonNull(placement, "placement is null");
     Objects.requireNonNull(gate, "gate is null");
     Objects.requireNonNull(hedging, "hedging is null");
+    Objects.requireNonNull(doubts, "doubts is null");
     Objects.requireNonNull(journal, "journal is null");
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -155,12 +155,11 @@
     Leg leg = new Leg(dispatch, work, target, floor, this);
     legs.add(leg);
     latest = leg;
-    if (floor.isPresent()) {
-      overdue =
-          dispatch
-              .scheduler()
-              .schedule(dispatch.hedging().overdueAfterMs(target), () -> onOverdue(leg));
-    }
+    stopOverdueTimer();
+    overdue =
+        dispatch
+            .scheduler()
+            .schedule(dispatch.hedging().overdueAfterMs(target), () -> onOverdue(leg));
     leg.start(startedMs + work.route().statementTimeoutMs());
   }
 
@@ -168,7 +167,10 @@
     if (ended || leg.isEnded()) {
       return;
     }
-    leg.target().overdue(now());
+    dispatch.doubts().raise(leg.target(), now());
+    if (ended || leg.floor().isEmpty()) {
+      return;
+    }
     if (legs.size() < Dispatch.MAX_TRIES && dispatch.hedging().take()) {
       Optional<LogPosition> floor = floor();
       floor.flatMap(ignored -> choose(floor)).ifPresent(target -> startLeg(target, floor));
@@ -248,6 +250,10 @@
   private void finish() {
     ended = true;
     limit.cancel();
+    stopOverdueTimer();
+  }
+
+  private void stopOverdueTimer() {
     if (overdue != null) {
       overdue.cancel();
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -228,6 +228,16 @@
       wrote = true;
     }
     run.work.send(used, Optional.empty(), false, result -> onResult(used, result));
+    Run sentRun = run;
+    dispatch
+        .scheduler()
+        .schedule(dispatch.hedging().overdueAfterMs(target), () -> onOverdue(sentRun));
+  }
+
+  private void onOverdue(Run sentRun) {
+    if (run == sentRun) {
+      dispatch.doubts().raise(target, now());
+    }
   }
 
   private void onResult(PooledLink used, LinkResult result) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -259,7 +259,7 @@
 
     @Override
     public int priority() {
-      return 0;
+      return QUESTION;
     }
 
     @Override
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
@@ -99,7 +99,7 @@
 
     @Override
     public int priority() {
-      return 0;
+      return QUESTION;
     }
 
     @Override
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/LinkRequest.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/LinkRequest.java
@@ -5,6 +5,8 @@
 
 /** A wish for a connection; exactly one of its two outcomes is told. */
 public interface LinkRequest {
+  /** The priority of questions of the gateway's own, which may use one connection more. */
+  int QUESTION = -1;
 
   /**
    * Returns the state that the connection is going to be set up with.
@@ -16,7 +18,7 @@
   /**
    * Returns how urgent the request is.
    *
-   * @return 0 for the most urgent
+   * @return 0 for the most urgent statement, or {@code QUESTION}
    */
   int priority();
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -295,7 +295,14 @@
   }
 
   private boolean mayGrow() {
-    return !retired && links() < share.most() && scheduler.nowMs() >= noGrowthUntilMs;
+    return !retired && links() < most() && scheduler.nowMs() >= noGrowthUntilMs;
+  }
+
+  /** Returns the share, and one more for a question while all connections are in use. */
+  private int most() {
+    boolean question =
+        !requests.isEmpty() && requests.getFirst().priority() == LinkRequest.QUESTION;
+    return question ? share.most() + 1 : share.most();
   }
 
   private void open() {
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -62,6 +62,7 @@
   public final Targets targets = new Targets(scheduler, links);
   public final Positions positions = new Positions();
   public final PrimaryGate gate = new PrimaryGate(scheduler);
+  public final Doubts doubts = new Doubts();
   public final Dispatch dispatch =
       new Dispatch(
           scheduler,
@@ -70,6 +71,7 @@
           new Placement(targets, "domain-i-2"),
           gate,
           new Hedging(),
+          doubts,
           new StatementJournal(scheduler, new GatewayMetrics(new SimpleMeterRegistry())));
 
   /** Registers the three targets. */
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -203,6 +203,22 @@
     assertTrue(fixture.board.own.getFirst().gone());
   }
 
+  /** Answers a primary that went dark with a write on its way. */
+  @Test
+  void shouldAskThePrimaryAtOnceWhenWriteIsOverdue() {
+    fixture.group.doubts.tell(fixture.watch::look);
+    fixture.group.prove(1, 7);
+    fixture.group.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.group.links.last("i-1").greet();
+
+    fixture.group.scheduler.advanceMs(130);
+    assertEquals(2, fixture.group.links.to("i-1").size());
+    fixture.group.scheduler.advanceMs(350);
+    fixture.watch.look();
+
+    assertTrue(fixture.board.own.getFirst().gone());
+  }
+
   @Test
   void shouldBeIsolatedOnlyWhenNeitherTheStoreNorPrimaryIsReached() {
     fixture.crashPrimary();
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -113,6 +113,20 @@
     assertTrue(patient.granted.isEmpty());
   }
 
+  /**
+   * Answers statements that hang on all connections while nobody knows whether the target lives.
+   */
+  @Test
+  void shouldOpenOneConnectionMoreWhenQuestionFindsAllInUse() {
+    open(ALICE);
+    open(ALICE);
+
+    ask(ALICE, LinkRequest.QUESTION);
+    ask(ALICE, 0);
+
+    assertEquals(3, links.opened().size());
+  }
+
   @Test
   void shouldPreferConnectionThatIsSetUpForTheSessionWhenSeveralAreIdle() {
     PooledLink forAlice = open(ALICE);
