--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
@@ -93,7 +93,9 @@
 
   private void onOverdue(PooledLink used) {
     if (link == used) {
-      used.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered"));
+      Fault cause = Fault.of(ResultCode.TARGET_UNREACHABLE, "the beginning is not answered");
+      target.pool().closeAllIdle(cause);
+      used.abandon(cause);
     }
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -220,7 +220,12 @@
               Dispatch.BUSY_RETRY_MS));
       return;
     }
-    legs.stream().filter(leg -> leg.isSent()).forEach(leg -> leg.target().overdue(now()));
+    for (Leg leg : legs) {
+      if (leg.isSent()) {
+        leg.target().overdue(now());
+        leg.target().pool().closeAllIdle(cause);
+      }
+    }
     ResultCode code = work.writes() ? ResultCode.UNKNOWN_OUTCOME : ResultCode.STATEMENT_TIMEOUT;
     fail(Fault.of(code, "no answer within the time limit"));
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -174,6 +174,15 @@
     refuseAll(Fault.of(ResultCode.TARGET_LEAVING, "target " + target.id() + " has left"));
   }
 
+  /**
+   * Closes all idle connections, since the target does not answer on another one.
+   *
+   * @param cause why
+   */
+  public void closeAllIdle(Fault cause) {
+    List.copyOf(idle).forEach(link -> link.abandon(cause));
+  }
+
   /** Closes connections that nobody has used for a while; those beyond the idle share sooner. */
   public void closeIdle() {
     int kept = 0;
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
@@ -13,7 +13,9 @@
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.route.ReadRule;
+import io.lycheejunction.gateway.route.ServiceLimits;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
@@ -170,6 +172,25 @@
     assertTrue(waiting.isDone());
   }
 
+  /** Answers connections that have gone silent without a reset. */
+  @Test
+  void shouldCloseOtherIdleConnectionsWhenOneIsSilent() {
+    fixture.targets.share(Map.of("ledger", new ServiceLimits(55, 1)), 3);
+    fixture.run(LATEST, DispatchFixture.write());
+    fixture.run(LATEST, DispatchFixture.write());
+    for (FakeLink link : List.copyOf(fixture.links.opened())) {
+      link.greet();
+    }
+    for (FakeLink link : fixture.links.opened()) {
+      link.done(TransactionState.NONE, 1, 5);
+    }
+
+    fixture.run(LATEST, DispatchFixture.read());
+    fixture.scheduler.advanceMs(Dispatch.BEGIN_TIMEOUT_MS);
+
+    assertTrue(fixture.links.opened().stream().allMatch(FakeLink::isClosed));
+  }
+
   @Test
   void shouldGiveUpPrimaryThatDoesNotBeginTransaction() {
     Ending ending = fixture.run(LATEST, DispatchFixture.read());
