--- a/gateway/src/main/java/io/lycheejunction/gateway/metrics/GatewayMetrics.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/metrics/GatewayMetrics.java
@@ -6,14 +6,24 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
-import java.util.Objects;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 
-/** Counts statements by their result and measures how long they took. */
+/**
+ * Counts statements by their result and measures how long they took.
+ *
+ * <p>A registry takes long to start, so it is connected only after the gateway serves. What comes
+ * before is kept, up to a limit, and counted then.
+ */
 public final class GatewayMetrics {
+  /** The values that are kept before a registry is connected; later ones are lost. */
+  static final int MAX_PENDING = 10_000;
+
   private static final Duration[] BUCKETS = {
     Duration.ofMillis(10),
     Duration.ofMillis(25),
@@ -27,18 +37,23 @@
 
   private record StatementKey(String service, boolean writes, ResultCode code) {}
 
-  private final MeterRegistry registry;
+  private final List<Runnable> pending = new ArrayList<>();
+  private Optional<MeterRegistry> registry = Optional.empty();
   private final Map<StatementKey, Counter> statements = new HashMap<>();
   private final Map<String, Timer> latencies = new HashMap<>();
-  private final Map<String, Counter> events = new HashMap<>();
+
+  /** Creates metrics without values and without a registry. */
+  public GatewayMetrics() {}
 
   /**
-   * Creates metrics without values.
+   * Keeps all values in a registry from now on, with those that came before.
    *
-   * @param registry where they are kept
+   * @param connected the registry
    */
-  public GatewayMetrics(MeterRegistry registry) {
-    this.registry = Objects.requireNonNull(registry, "registry is null");
+  public void connect(MeterRegistry connected) {
+    registry = Optional.of(connected);
+    pending.forEach(Runnable::run);
+    pending.clear();
   }
 
   /**
@@ -50,24 +65,16 @@
    * @param tookMs how long it took, in milliseconds
    */
   public void statement(String service, boolean writes, ResultCode code, long tookMs) {
+    if (registry.isEmpty()) {
+      keep(() -> statement(service, writes, code, tookMs));
+      return;
+    }
     statements
         .computeIfAbsent(new StatementKey(service, writes, code), this::newCounter)
         .increment();
     latencies.computeIfAbsent(service, this::newTimer).record(tookMs, TimeUnit.MILLISECONDS);
   }
 
-  /**
-   * Counts an event.
-   *
-   * @param name the name of the event, in snake case
-   */
-  public void event(String name) {
-    events
-        .computeIfAbsent(
-            name, key -> Counter.builder("gateway_events").tag("event", key).register(registry))
-        .increment();
-  }
-
   /**
    * Shows a value as it is when it is asked for.
    *
@@ -75,7 +82,17 @@
    * @param value gives it
    */
   public void gauge(String name, Supplier<Number> value) {
-    Gauge.builder(name, value).register(registry);
+    if (registry.isEmpty()) {
+      keep(() -> gauge(name, value));
+      return;
+    }
+    Gauge.builder(name, value).register(registry.get());
+  }
+
+  private void keep(Runnable later) {
+    if (pending.size() < MAX_PENDING) {
+      pending.add(later);
+    }
   }
 
   private Counter newCounter(StatementKey key) {
@@ -83,13 +100,13 @@
         .tag("service", key.service())
         .tag("writes", Boolean.toString(key.writes()))
         .tag("code", key.code().name())
-        .register(registry);
+        .register(registry.orElseThrow());
   }
 
   private Timer newTimer(String service) {
     return Timer.builder("gateway_statement_latency")
         .tag("service", service)
         .serviceLevelObjectives(BUCKETS)
-        .register(registry);
+        .register(registry.orElseThrow());
   }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -12,7 +12,6 @@
 import io.lycheejunction.gateway.schedule.ManualScheduler;
 import io.lycheejunction.gateway.target.Targets;
 import io.lycheejunction.gateway.target.TestTargets;
-import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -72,7 +71,7 @@
           gate,
           new Hedging(),
           doubts,
-          new StatementJournal(scheduler, new GatewayMetrics(new SimpleMeterRegistry())));
+          new StatementJournal(scheduler, new GatewayMetrics()));
 
   /** Registers the three targets. */
   public DispatchFixture() {
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/metrics/GatewayMetricsTest.java
@@ -0,0 +1,42 @@
+package io.lycheejunction.gateway.metrics;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import io.lycheejunction.core.result.ResultCode;
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import org.junit.jupiter.api.Test;
+
+class GatewayMetricsTest {
+  private final GatewayMetrics metrics = new GatewayMetrics();
+  private final SimpleMeterRegistry registry = new SimpleMeterRegistry();
+
+  private void count(int statements) {
+    for (int i = 0; i < statements; i++) {
+      metrics.statement("ledger", false, ResultCode.DONE, 7);
+    }
+  }
+
+  private double counted() {
+    return registry.get("gateway_statements").tag("code", "DONE").counter().count();
+  }
+
+  @Test
+  void shouldCountWhatCameBeforeWhenRegistryIsConnected() {
+    count(3);
+
+    metrics.connect(registry);
+    count(2);
+
+    assertEquals(5, counted());
+    assertEquals(5, registry.get("gateway_statement_latency").timer().count());
+  }
+
+  @Test
+  void shouldKeepLimitedNumberWhenNoRegistryIsConnected() {
+    count(GatewayMetrics.MAX_PENDING + 10);
+
+    metrics.connect(registry);
+
+    assertEquals(GatewayMetrics.MAX_PENDING, counted());
+  }
+}
