--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/StatusRound.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.StatusReport;
@@ -86,6 +87,7 @@
   private final class Question implements LinkRequest {
     private final TargetHandle target;
     private final long untilMs;
+    private boolean replied;
 
     private Question(TargetHandle target, long untilMs) {
       this.target = target;
@@ -119,13 +121,9 @@
       answered();
     }
 
-    private boolean replied;
-
     private void giveUp(PooledLink link) {
       if (!replied) {
-        link.abandon(
-            Fault.of(
-                io.lycheejunction.core.result.ResultCode.TARGET_UNREACHABLE, "no status in time"));
+        link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "no status in time"));
       }
     }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/SingleStatementTest.java
@@ -14,6 +14,7 @@
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.ServiceLimits;
+import io.lycheejunction.gateway.target.Targets;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -146,7 +147,7 @@
   @Test
   void shouldRefuseAtOnceWithTheTimeToComeBackWhenNoPrimaryIsExpectedInTime() {
     fixture.targets.update(List.of());
-    fixture.scheduler.advanceMs(io.lycheejunction.gateway.target.Targets.DROPPED_MS);
+    fixture.scheduler.advanceMs(Targets.DROPPED_MS);
 
     Fault fault = fixture.run(LATEST, DispatchFixture.write()).fault();
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -9,6 +9,7 @@
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.ServiceLimits;
+import io.lycheejunction.gateway.target.Targets;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
 import java.util.List;
@@ -240,7 +241,7 @@
   void shouldAskTargetsWhoLeadsWhenNoPrimaryIsKnown() {
     fixture.group.targets.update(
         List.of(TestTargets.target("i-2", false, 2), TestTargets.target("i-3", false, 3)));
-    fixture.group.scheduler.advanceMs(io.lycheejunction.gateway.target.Targets.DROPPED_MS);
+    fixture.group.scheduler.advanceMs(Targets.DROPPED_MS);
 
     fixture.watch.look();
 
--- a/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
+++ b/proxy/src/test/java/io/lycheejunction/proxy/holder/PooledHoldersTest.java
@@ -6,7 +6,6 @@
 import static io.lycheejunction.proxy.holder.HolderFixture.with;
 import static io.lycheejunction.proxy.holder.HolderFixture.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.lycheejunction.core.configuration.CutOffReads;
@@ -20,12 +19,11 @@
 import io.lycheejunction.core.term.LogPosition;
 import java.util.List;
 import java.util.Optional;
-import java.util.OptionalLong;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
+/** Forwarding, writes and their outcomes through the holder of a target. */
 class PooledHoldersTest {
-  private static final String READS = "lycheejunction.holder.reads";
   private static final Fault LOST = Fault.of(ResultCode.MAJORITY_LOST, "lost");
   private static final Fault UNKNOWN = Fault.of(ResultCode.UNKNOWN_OUTCOME, "unknown");
 
@@ -186,106 +184,6 @@
     }
   }
 
-  @Nested
-  class Reads {
-    @Test
-    void shouldRefuseWhenAnswerIsBehindFloor() {
-      watch.applied = at(1, 12);
-      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
-      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
-    }
-
-    @Test
-    void shouldNotDispatchWhenReplicaDoesNotCatchUp() {
-      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
-      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
-      assertTrue(targets.executed.isEmpty());
-    }
-
-    @Test
-    void shouldWaitWhenReplicaCatchesUpSoon() {
-      fixture.clock.afterMs(8, () -> targets.positions.put("t2", at(1, 11)));
-      HeldAnswer answer = value(fixture.second.execute(read("t2", at(1, 11), Optional.empty())));
-      assertEquals(at(1, 11), answer.position());
-    }
-
-    @Test
-    void shouldNotWaitAgainWhenReplicaLagged() {
-      fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
-      long beforeMs = fixture.clock.monotonicMs();
-      fixture.second.execute(read("t2", at(1, 11), Optional.empty()));
-      assertEquals(beforeMs, fixture.clock.monotonicMs());
-    }
-
-    @Test
-    void shouldCompareTermFirstWhenReplicaHasLongerOldLog() {
-      watch.applied = at(1, 99);
-      targets.positions.put("t2", at(1, 99));
-      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(2, 3), Optional.empty()));
-      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
-    }
-
-    @Test
-    void shouldWithholdSuffixWhenTermWasReplaced() {
-      watch.view = new GroupView("g", 2, Optional.of("t1"), at(2, 11));
-      targets.positions.put("t2", at(1, 12));
-      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 5), Optional.of(9_999L)));
-      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
-    }
-
-    @Test
-    void shouldWithholdSuffixWhenCutOffPrimaryIsReadWithAge() {
-      watch.termFault = LOST;
-      watch.receivedFault = UNKNOWN;
-      targets.positions.put("t1", at(1, 12));
-      Result<HeldAnswer> result = fixture.first.execute(read("t1", at(1, 5), Optional.of(9_999L)));
-      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(result));
-    }
-
-    @Test
-    void shouldServeConfirmedDataWhenCutOffPrimaryIsReadWithAge() {
-      watch.termFault = LOST;
-      value(fixture.first.execute(read("t1", at(1, 5), Optional.of(9_999L))));
-      assertEquals(1.0, fixture.registry.counter(READS, "role", "replica").count());
-    }
-
-    @Test
-    void shouldRefuseWhenAgeIsTooHigh() {
-      watch.ageMs = OptionalLong.of(51);
-      Result<HeldAnswer> result = fixture.second.execute(read("t2", at(1, 5), Optional.of(50L)));
-      assertEquals(Optional.of(ResultCode.AGE_NOT_PROVEN), code(result));
-    }
-
-    @Test
-    void shouldServeOlderWhenCutOffAndRuleAllowsIt() {
-      watch.ageMs = OptionalLong.empty();
-      watch.termFault = LOST;
-      HeldStatement read =
-          with(
-              read("t2", at(1, 5), Optional.of(50L)), CutOffReads.SERVE_OLDER, Durability.MAJORITY);
-      assertEquals(Optional.empty(), value(fixture.second.execute(read)).ageMs());
-    }
-
-    @Test
-    void shouldKeepFloorWhenOlderDataIsAllowed() {
-      watch.ageMs = OptionalLong.empty();
-      watch.termFault = LOST;
-      HeldStatement read =
-          with(
-              read("t2", at(1, 11), Optional.of(50L)),
-              CutOffReads.SERVE_OLDER,
-              Durability.MAJORITY);
-      assertEquals(Optional.of(ResultCode.NOT_FRESH), code(fixture.second.execute(read)));
-    }
-
-    @Test
-    void shouldWithholdPrimaryDataWhenNoMajorityConfirmsIt() {
-      watch.receivedFault = UNKNOWN;
-      Result<HeldAnswer> result = fixture.first.execute(read("t1", at(1, 5), Optional.empty()));
-      assertEquals(Optional.of(ResultCode.MAJORITY_LOST), code(result));
-    }
-  }
-
   @Nested
   class Outcomes {
     private final KeyQuery query = new KeyQuery("g", "t1", 1, "key", true, 1_000);
@@ -314,98 +212,4 @@
       assertEquals(Optional.of(ResultCode.UNKNOWN_OUTCOME), code(fixture.first.outcome(query)));
     }
   }
-
-  @Nested
-  class Floors {
-    @Test
-    void shouldReturnConfirmedEndOfLogWhenAskedAtAnotherProxy() {
-      targets.positions.put("t1", at(1, 14));
-      assertEquals(at(1, 14), value(fixture.second.floor("g", 1_000)));
-      assertEquals(List.of(at(1, 14)), watch.confirmedPositions);
-    }
-
-    @Test
-    void shouldRefuseWhenPrimaryHasBeenReplaced() {
-      targets.positions.put("t1", at(2, 14));
-      assertEquals(Optional.of(ResultCode.NO_PRIMARY), code(fixture.first.floor("g", 1_000)));
-    }
-
-    @Test
-    void shouldRefuseWhenMajorityDoesNotConfirm() {
-      watch.receivedFault = UNKNOWN;
-      assertEquals(Optional.of(ResultCode.MAJORITY_LOST), code(fixture.first.floor("g", 1_000)));
-    }
-  }
-
-  @Nested
-  class Drain {
-    @Test
-    void shouldFinishOpenTransactionAndTakeNoNewWork() {
-      final TransactionId id = value(fixture.first.begin(HolderFixture.start()));
-      fixture.first.drain();
-      assertEquals(Optional.of(ResultCode.SHUTTING_DOWN), code(fixture.first.execute(write("t1"))));
-      assertEquals(
-          Optional.of(ResultCode.SHUTTING_DOWN), code(fixture.first.begin(HolderFixture.start())));
-      fixture.clock.afterMs(
-          50, () -> value(fixture.first.step(HolderFixture.step(id, TransactionStep.Kind.COMMIT))));
-      assertTrue(fixture.first.awaitIdle(1_000));
-      assertEquals(0, targets.open);
-    }
-
-    @Test
-    void shouldRollBackWhenTransactionOutlastsBound() {
-      value(fixture.first.begin(HolderFixture.start()));
-      fixture.first.drain();
-      assertFalse(fixture.first.awaitIdle(100));
-      assertEquals(0, targets.open);
-    }
-  }
-
-  @Nested
-  class Rebalance {
-    @Test
-    void shouldWarmForSlotsWhenTargetIsTakenOver() {
-      fixture.first.rebalance();
-      assertEquals(HolderFixture.SLOTS, targets.open);
-    }
-
-    @Test
-    void shouldUseHalfOfConnectionsWhenHandoverIsRunning() {
-      fixture.first.rebalance();
-      Result<TransactionId> last = beginMany(HolderFixture.CONNECTIONS / 2);
-      assertEquals(Optional.of(ResultCode.DEADLINE_EXCEEDED), code(last));
-      fixture.clock.advanceMs(3_000);
-      fixture.first.rebalance();
-      value(fixture.first.begin(HolderFixture.start()));
-    }
-
-    private Result<TransactionId> beginMany(int count) {
-      for (int i = 1; i < count; i++) {
-        value(fixture.first.begin(HolderFixture.start()));
-      }
-      return fixture.first.begin(HolderFixture.start());
-    }
-
-    @Test
-    void shouldClosePoolWhenAnotherProxyTakesOver() {
-      fixture.first.rebalance();
-      fixture.live.removeFirst();
-      fixture.first.rebalance();
-      assertEquals(0, targets.open);
-    }
-
-    @Test
-    void shouldShrinkToWarmSizeWhenConnectionsAreIdle() {
-      fixture.first.rebalance();
-      fixture.clock.advanceMs(3_000);
-      fixture.first.rebalance();
-      beginMany(3);
-      assertEquals(3, targets.open);
-      fixture.clock.advanceMs(5_000);
-      fixture.first.rebalance();
-      fixture.clock.advanceMs(30_000);
-      fixture.first.rebalance();
-      assertEquals(HolderFixture.SLOTS, targets.open);
-    }
-  }
 }
