Ask VMs directly before a primary is replaced, and wait longer after a lapse

A lapsed registration makes one voice enough only once the target is dropped, five seconds after the lapse. A primary that is merely missing is told to step down only by a VM that reaches it.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Failover.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Failover.java
@@ -18,6 +18,7 @@
  * @param positions the proven positions
  * @param links reads the answers of targets
  * @param board what VMs tell each other
+ * @param peers asks other VMs directly
  * @param orders orders promotions
  * @param gate holds statements meanwhile
  */
@@ -30,6 +31,7 @@
     Positions positions,
     TargetLinks links,
     FailoverBoard board,
+    Peers peers,
     PromotionOrders orders,
     PrimaryGate gate) {
   /** Rejects null components. */
@@ -42,6 +44,7 @@
     Objects.requireNonNull(positions, "positions is null");
     Objects.requireNonNull(links, "links is null");
     Objects.requireNonNull(board, "board is null");
+    Objects.requireNonNull(peers, "peers is null");
     Objects.requireNonNull(orders, "orders is null");
     Objects.requireNonNull(gate, "gate is null");
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Judgement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Judgement.java
@@ -25,8 +25,8 @@
    * @param vms the failure domain of each VM that is there, by its name
    * @param primary the identifier of the primary in question
    * @param votes the votes of VMs
-   * @param registered whether the primary is still registered in the store; if not, one voice is
-   *     enough
+   * @param registered whether the primary is registered in the store, or was until a moment ago; if
+   *     not, one voice is enough
    * @return the outcome
    */
   public static PreVote.Outcome of(
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.common.log.EventLog;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 
 /** Watches the primaries of all services. */
 public final class PrimaryWatch {
@@ -53,6 +54,17 @@
         && failover.scheduler().nowMs() - isolatedSinceMs >= ISOLATED_MS;
   }
 
+  /**
+   * Returns what this VM sees of a primary, for another VM that asks.
+   *
+   * @param service the service
+   * @param primary the identifier of the primary
+   * @return the vote, or empty if it can't tell yet
+   */
+  public Optional<Vote> answerAbout(String service, String primary) {
+    return Optional.ofNullable(watches.get(service)).flatMap(watch -> watch.answerAbout(primary));
+  }
+
   private long missedPrimaries() {
     return watches.values().stream().filter(watch -> !watch.reachesPrimary()).count();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -15,9 +15,11 @@
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 
 /** Watches the primary of one service, and starts to replace it when it is gone or leaves. */
 final class ServiceWatch {
@@ -29,6 +31,12 @@
   private static final long LEAVING_SPREAD_MS = 300;
   private static final long ASK_INTERVAL_MS = 300;
 
+  /**
+   * How long a VM that does not reach a leaving primary leaves its replacement to those that do, in
+   * milliseconds: they can tell it to step down first, so that no commit is lost.
+   */
+  private static final long OTHERS_FIRST_MS = 1_000;
+
   /** How long VMs that still reach the primary have to say so, in milliseconds. */
   private static final long OBJECTION_MS = 100;
 
@@ -38,6 +46,7 @@
   private final Failover failover;
   private final String service;
   private final long jitterMs;
+  private final PeerVotes peerVotes;
   private Optional<String> lastPrimary = Optional.empty();
   private Optional<Boolean> lastVote = Optional.empty();
   private long lastVoteMs;
@@ -51,6 +60,7 @@
   ServiceWatch(Failover failover, String service) {
     this.failover = failover;
     this.service = service;
+    this.peerVotes = new PeerVotes(failover, service);
     this.jitterMs = Math.floorMod((failover.vm() + '/' + service).hashCode(), LEAVING_SPREAD_MS);
   }
 
@@ -63,11 +73,13 @@
     }
     TargetHandle handle = primary.get();
     probeIfDue(handle);
-    if (failover.targets().isLeaving(handle)) {
-      startOnceAfter(jitterMs, "leaving", primary, true);
+    boolean gone = handle.isGone(now());
+    boolean canStepDown = handle.target().leaving() || !gone;
+    if (failover.targets().isLeaving(handle) && canStepDown) {
+      long delayMs = gone ? jitterMs + OTHERS_FIRST_MS : jitterMs;
+      startOnceAfter(delayMs, "leaving", primary, true);
       return true;
     }
-    boolean gone = handle.isGone(now());
     voteOn(handle, gone);
     if (gone) {
       handle
@@ -80,6 +92,32 @@
     return handle.isDoubtful(now());
   }
 
+  /**
+   * Returns what this VM sees of a primary, for another VM that asks.
+   *
+   * @param primary the identifier of the primary
+   * @return the vote, or empty if it can't tell yet
+   */
+  Optional<Vote> answerAbout(String primary) {
+    Optional<TargetHandle> known = failover.targets().primaryOf(service);
+    if (known.isEmpty()) {
+      return Optional.of(ownVote(primary, true));
+    }
+    TargetHandle handle = known.get();
+    if (handle.isGone(now())) {
+      return Optional.of(ownVote(handle.target().id(), true));
+    }
+    if (now() - handle.lastAnswerMs() <= FRESH_ANSWER_MS) {
+      return Optional.of(ownVote(handle.target().id(), false));
+    }
+    probe(handle);
+    return Optional.empty();
+  }
+
+  private Vote ownVote(String primary, boolean gone) {
+    return new Vote(failover.vm(), failover.failureDomain(), primary, gone);
+  }
+
   /** Returns whether the primary is known and answers. */
   boolean reachesPrimary() {
     return failover
@@ -178,28 +216,48 @@
     lastVote = Optional.of(gone);
     lastVoteMs = now();
     LOG.info("primary_vote", "service", service, "primary", primary, "gone", gone);
-    failover
-        .board()
-        .vote(service, new Vote(failover.vm(), failover.failureDomain(), primary, gone));
+    failover.board().vote(service, ownVote(primary, gone));
   }
 
   private void decide(String primary, Optional<TargetHandle> handle) {
-    Map<String, String> vms = new HashMap<>(failover.board().presentVms());
-    vms.put(failover.vm(), failover.failureDomain());
-    List<Vote> votes = failover.board().votes(service);
-    votes.stream()
-        .filter(vote -> vote.primary().equals(primary))
-        .forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
-    boolean registered =
-        failover.targets().find(primary).isPresent() && !failover.targets().isMissing(primary);
+    Map<String, String> vms = knownVms(primary);
+    List<Vote> votes = votesOn(primary);
+    boolean registered = failover.targets().find(primary).isPresent();
     PreVote.Outcome outcome = Judgement.of(vms, primary, votes, registered);
-    if (outcome == PreVote.Outcome.GRANTED) {
+    Set<String> silent = new HashSet<>(vms.keySet());
+    votes.forEach(vote -> silent.remove(vote.vm()));
+    if (mayBeGranted(vms, primary, votes)) {
+      peerVotes.ask(primary, silent);
+    }
+    if (outcome == PreVote.Outcome.GRANTED && peerVotes.haveBeenAsked(silent)) {
       startOnceAfter(OBJECTION_MS, "gone", handle, false);
-    } else {
+    } else if (outcome != PreVote.Outcome.GRANTED) {
       startableFromMs = Long.MIN_VALUE;
     }
   }
 
+  /** Returns whether the votes would be enough if the VMs that have not voted did not count. */
+  private static boolean mayBeGranted(Map<String, String> vms, String primary, List<Vote> votes) {
+    return Judgement.of(vms, primary, votes, false) == PreVote.Outcome.GRANTED;
+  }
+
+  /** Returns the failure domain of each VM that may reach the primary, by its name. */
+  private Map<String, String> knownVms(String primary) {
+    Map<String, String> vms = new HashMap<>(failover.board().presentVms());
+    peerVotes.absent().forEach(vms::remove);
+    vms.put(failover.vm(), failover.failureDomain());
+    votesOn(primary).forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
+    return vms;
+  }
+
+  /** Returns the votes on a primary, one a VM; what a VM says directly goes first. */
+  private List<Vote> votesOn(String primary) {
+    Map<String, Vote> byVm = new HashMap<>();
+    failover.board().votes(service).forEach(vote -> byVm.put(vote.vm(), vote));
+    peerVotes.votes().forEach(vote -> byVm.put(vote.vm(), vote));
+    return byVm.values().stream().filter(vote -> vote.primary().equals(primary)).toList();
+  }
+
   private void startOnceAfter(
       long delayMs, String reason, Optional<TargetHandle> previous, boolean stepsDown) {
     if (startableFromMs == Long.MIN_VALUE) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -5,7 +5,9 @@
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.target.Target;
+import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -14,6 +16,8 @@
 /** The group of {@link DispatchFixture}, watched by the VM vm-b beside vm-a and vm-c. */
 final class FailoverFixture {
 
+  private static final long FIRST_TOKEN = 10;
+
   /** An order and the function that is told how it ended. */
   record Order(String target, long token, Consumer<PromotionOrders.Outcome> done) {}
 
@@ -24,7 +28,12 @@
     Optional<Lease> lease = Optional.empty();
     boolean reachable = true;
     boolean taken;
-    long nextToken = 10;
+    long nextToken = FIRST_TOKEN;
+
+    /** Returns whether the VM has taken the lease. */
+    boolean hasLease() {
+      return nextToken > FIRST_TOKEN;
+    }
 
     @Override
     public void vote(String service, Vote vote) {
@@ -62,19 +71,30 @@
   final DispatchFixture group = new DispatchFixture();
   final Board board = new Board();
   final List<Order> orders = new ArrayList<>();
-  final PrimaryWatch watch =
-      new PrimaryWatch(
-          new Failover(
-              "vm-b",
-              "vm-b-1",
-              "domain-i-2",
-              group.scheduler,
-              group.targets,
-              group.positions,
-              group.links,
-              board,
-              this::promote,
-              group.gate));
+  final List<String> asked = new ArrayList<>();
+  final Map<String, Peers.Answer> answers = new HashMap<>();
+  final Failover failover =
+      new Failover(
+          "vm-b",
+          "vm-b-1",
+          "domain-i-2",
+          group.scheduler,
+          group.targets,
+          group.positions,
+          group.links,
+          board,
+          this::ask,
+          this::promote,
+          group.gate);
+  final PrimaryWatch watch = new PrimaryWatch(failover);
+  boolean holdsAnswers;
+
+  private void ask(String vm, String service, String primary, Consumer<Peers.Answer> done) {
+    asked.add(vm);
+    if (!holdsAnswers) {
+      done.accept(answers.getOrDefault(vm, new Peers.Answer.Silent()));
+    }
+  }
 
   private void promote(
       Target target, String holder, long token, Consumer<PromotionOrders.Outcome> done) {
@@ -87,6 +107,12 @@
     board.votes.add(new Vote("vm-c", "domain-i-3", "i-1", gone));
   }
 
+  /** Takes the primary's registration out of the store. */
+  void lapsePrimary() {
+    group.targets.update(
+        List.of(TestTargets.target("i-2", false, 2), TestTargets.target("i-3", false, 3)));
+  }
+
   /** Lets the primary refuse connections, and the probe find out. */
   void crashPrimary() {
     group.links.to("i-1").forEach(link -> link.drop());
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -60,6 +60,81 @@
     assertTrue(fixture.orders.isEmpty());
   }
 
+  /**
+   * Answers a primary and most VMs cut off from the store and from the replicas: the primary's
+   * registration lapses while those VMs write to it.
+   */
+  @Test
+  void shouldNotOrderWhenTheRegistrationLapsedAndMoreVmsSayDirectlyThatTheyReachThePrimary() {
+    fixture.answers.put(
+        "vm-a", new Peers.Answer.Voted(new Vote("vm-a", "domain-i-1", "i-1", false)));
+    fixture.answers.put(
+        "vm-c", new Peers.Answer.Voted(new Vote("vm-c", "domain-i-3", "i-1", false)));
+    fixture.crashPrimary();
+
+    fixture.lapsePrimary();
+    lookFor(Targets.DROPPED_MS + 400);
+
+    assertFalse(fixture.board.hasLease());
+  }
+
+  /**
+   * Answers a primary and most VMs cut off from the store, the replicas and this VM: the cut may
+   * end, and what those VMs have acknowledged is kept if the primary still leads by then.
+   */
+  @Test
+  void shouldNotStartWhenTheRegistrationHasJustLapsedAndTheOtherVmsAreSilent() {
+    fixture.crashPrimary();
+
+    fixture.lapsePrimary();
+    lookFor(Targets.DROPPED_MS - 200);
+
+    assertFalse(fixture.board.hasLease());
+  }
+
+  /** Answers the loss of the primary together with the VMs of two failure domains. */
+  @Test
+  void shouldStartWhenTheRegistrationDoesNotComeBackAndTheOtherVmsAreSilent() {
+    fixture.crashPrimary();
+
+    fixture.lapsePrimary();
+    lookFor(Targets.DROPPED_MS + 400);
+
+    assertTrue(fixture.board.hasLease());
+  }
+
+  private void lookFor(long spanMs) {
+    for (long passedMs = 0; passedMs < spanMs; passedMs += 50) {
+      fixture.watch.look();
+      fixture.group.scheduler.advanceMs(50);
+    }
+  }
+
+  /** Answers VMs that were killed or replaced a moment ago and still count as present. */
+  @Test
+  void shouldStartWithoutLapseWhenNoProcessListensOnTheOtherVms() {
+    fixture.answers.put("vm-a", new Peers.Answer.Absent());
+    fixture.board.votes.add(new Vote("vm-c", "domain-i-3", "i-1", true));
+
+    fixture.crashPrimary();
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(150);
+    fixture.watch.look();
+
+    assertFalse(fixture.group.links.to("i-3").isEmpty());
+  }
+
+  @Test
+  void shouldAnswerPeersThatThePrimaryIsReachedWhenItHasJustAnswered() {
+    assertEquals(Optional.of(new Vote("vm-b", "domain-i-2", "i-1", false)), askAfterAnswer());
+  }
+
+  private Optional<Vote> askAfterAnswer() {
+    fixture.watch.look();
+    fixture.group.targets.find("i-1").orElseThrow().heard(fixture.group.scheduler.nowMs());
+    return fixture.watch.answerAbout(TestTargets.SERVICE, "i-1");
+  }
+
   @Test
   void shouldNotOrderWhenAnotherProcessHoldsTheLease() {
     fixture.board.lease =
@@ -151,6 +226,27 @@
     fixture.orders.getFirst().done().accept(ACCEPTED);
   }
 
+  /** Answers a leaving primary that only some VMs reach. */
+  @Test
+  void shouldLeaveTheReplacementToOthersForMomentWhenLeavingPrimaryIsNotReached() {
+    fixture.crashPrimary();
+    fixture.group.targets.update(
+        List.of(
+            TestTargets.leaving(TestTargets.target("i-1", true, 1), 5),
+            TestTargets.target("i-2", false, 2),
+            TestTargets.target("i-3", false, 3)));
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(900);
+    fixture.watch.look();
+    assertTrue(fixture.group.links.to("i-3").isEmpty());
+
+    fixture.group.scheduler.advanceMs(500);
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(400);
+
+    assertFalse(fixture.group.links.to("i-3").isEmpty());
+  }
+
   @Test
   void shouldStopReplicasAndNeedAllOfThemWhenCommitsAreSynchronous() {
     fixture.group.targets.share(
