Let few VMs hold connections, and the others forward their callers' statements

The others send statements, with the route in force and the session's commit, to a holder in their own failure domain, and elsewhere if it refuses or opens no connection; what was sent and may have run is never sent again. A holder that stops refuses forwarded work, so that it is tried elsewhere. A primary that is gone for 1.5 s makes VMs ask the targets who leads.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
@@ -35,6 +35,7 @@
   private final Work work;
   private final TargetHandle target;
   private final Optional<LogPosition> floor;
+  private final CallerStatement.Begin begin;
   private final Listener listener;
   private LinkRequest request;
   private PooledLink link;
@@ -45,11 +46,13 @@
       Work work,
       TargetHandle target,
       Optional<LogPosition> floor,
+      CallerStatement.Begin begin,
       Listener listener) {
     this.dispatch = dispatch;
     this.work = work;
     this.target = target;
     this.floor = floor;
+    this.begin = begin;
     this.listener = listener;
   }
 
@@ -79,10 +82,9 @@
     link = granted;
     sentMs = now();
     target.asked(sentMs);
-    TargetCommand begin =
-        new TargetCommand.Run(
-            Optional.empty(), floor, new CallerStatement.Begin(floor.isPresent()));
-    granted.run(work.session(), begin, result -> onResult(granted, result));
+    TargetCommand command =
+        new TargetCommand.Run(Optional.empty(), floor, begin, Optional.of(work.route()));
+    granted.run(work.session(), command, result -> onResult(granted, result));
     dispatch.scheduler().schedule(Dispatch.BEGIN_TIMEOUT_MS, () -> onOverdue(granted));
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Dispatch.java
@@ -2,12 +2,12 @@
 
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.holder.Role;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
 import java.util.Objects;
-import java.util.Optional;
 
 /**
  * What the running of statements shares.
@@ -15,7 +15,9 @@
  * @param scheduler the gateway's clock
  * @param targets the targets
  * @param positions the proven positions
- * @param placement chooses targets of reads
+ * @param direct chooses among targets
+ * @param forwarding chooses among VMs that hold connections to targets
+ * @param role tells which of the two is in force
  * @param gate holds statements while a group has no primary
  * @param hedging decides about second tries of reads
  * @param doubts are raised by overdue answers
@@ -25,14 +27,13 @@
     Scheduler scheduler,
     Targets targets,
     Positions positions,
-    Placement placement,
+    Chooser direct,
+    Chooser forwarding,
+    Role role,
     PrimaryGate gate,
     Hedging hedging,
     Doubts doubts,
     StatementJournal journal) {
-  /** How often a statement that has not run is tried. */
-  static final int MAX_TRIES = 4;
-
   /** The hint of a refusal while a group has no primary, in milliseconds. */
   public static final long NO_PRIMARY_RETRY_MS = 300;
 
@@ -47,7 +48,9 @@
     Objects.requireNonNull(scheduler, "scheduler is null");
     Objects.requireNonNull(targets, "targets is null");
     Objects.requireNonNull(positions, "positions is null");
-    Objects.requireNonNull(placement, "placement is null");
+    Objects.requireNonNull(direct, "direct is null");
+    Objects.requireNonNull(forwarding, "forwarding is null");
+    Objects.requireNonNull(role, "role is null");
     Objects.requireNonNull(gate, "gate is null");
     Objects.requireNonNull(hedging, "hedging is null");
     Objects.requireNonNull(doubts, "doubts is null");
@@ -55,13 +58,21 @@
   }
 
   /**
-   * Returns the primary of a service, unless it does not answer.
+   * Returns what chooses where the statements that start now are sent to.
    *
-   * @param service the service
-   * @return the primary, or empty if statements can't be sent to it now
+   * @return the choice in force
+   */
+  Chooser chooser() {
+    return role.isForwarding() ? forwarding : direct;
+  }
+
+  /**
+   * Returns whether there is any target to send statements to.
+   *
+   * @return true if so
    */
-  Optional<TargetHandle> usablePrimaryOf(String service) {
-    return targets.primaryOf(service).filter(handle -> !handle.isGone(scheduler.nowMs()));
+  public boolean hasTargets() {
+    return chooser().hasTargets();
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.dispatch;
 
 import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.pool.LinkRequest;
@@ -74,7 +75,8 @@
 
   void start(long untilMs) {
     if (!work.writes() && floor.isEmpty()) {
-      BeginAttempt attempt = new BeginAttempt(dispatch, work, target, floor, this);
+      BeginAttempt attempt =
+          new BeginAttempt(dispatch, work, target, floor, new CallerStatement.Begin(false), this);
       beginning = Optional.of(attempt);
       attempt.start(untilMs);
       return;
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -20,7 +20,11 @@
  * leads to another try.
  */
 public final class SingleStatement implements Leg.Listener {
+  /** How much longer an overdue statement waits for a connection, in milliseconds. */
+  private static final long UNSENT_PATIENCE_MS = 130;
+
   private final Dispatch dispatch;
+  private final Chooser chooser;
   private final Work work;
   private final Completion completion;
   private final long startedMs;
@@ -42,6 +46,7 @@
    */
   public SingleStatement(Dispatch dispatch, Work work, Completion completion) {
     this.dispatch = dispatch;
+    this.chooser = dispatch.chooser();
     this.work = work;
     this.completion = completion;
     this.startedMs = dispatch.scheduler().nowMs();
@@ -118,7 +123,7 @@
     if (ended) {
       return;
     }
-    if (legs.size() >= Dispatch.MAX_TRIES) {
+    if (legs.size() >= chooser.maxTries()) {
       fail(refusal());
       return;
     }
@@ -135,19 +140,11 @@
     if (work.writes()) {
       return Optional.empty();
     }
-    return dispatch
-        .positions()
-        .floor(work.route().service(), work.route().readRule(), work.sessionCommit(), now());
+    return chooser.floor(work.route(), work.sessionCommit(), now());
   }
 
   private Optional<TargetHandle> choose(Optional<LogPosition> floor) {
-    String service = work.route().service();
-    if (floor.isPresent()) {
-      return dispatch.placement().choose(service, floor.get(), tried, now());
-    }
-    return dispatch
-        .usablePrimaryOf(service)
-        .filter(handle -> !tried.contains(handle.target().id()));
+    return chooser.choose(work.route(), floor, tried, now());
   }
 
   private void startLeg(TargetHandle target, Optional<LogPosition> floor) {
@@ -168,15 +165,32 @@
       return;
     }
     dispatch.doubts().raise(leg.target(), now());
-    if (ended || leg.floor().isEmpty()) {
+    if (ended) {
+      return;
+    }
+    if (!leg.isSent() && chooser.leavesWaiting()) {
+      overdue = dispatch.scheduler().schedule(UNSENT_PATIENCE_MS, () -> leaveWaiting(leg));
+      return;
+    }
+    if (leg.floor().isEmpty()) {
       return;
     }
-    if (legs.size() < Dispatch.MAX_TRIES && dispatch.hedging().take()) {
+    if (legs.size() < chooser.maxTries() && dispatch.hedging().take()) {
       Optional<LogPosition> floor = floor();
       floor.flatMap(ignored -> choose(floor)).ifPresent(target -> startLeg(target, floor));
     }
   }
 
+  /** Tries elsewhere what has waited too long for a connection and so was not sent. */
+  private void leaveWaiting(Leg leg) {
+    if (ended || leg.isEnded() || leg.isSent()) {
+      return;
+    }
+    leg.target().overdue(now());
+    leg.abandon(Fault.of(ResultCode.NO_CONNECTION, "no connection in time"));
+    retry(leg);
+  }
+
   /** Waits for a primary if one is expected soon enough, or refuses at once. */
   private void waitForPrimary() {
     long untilMs = startedMs + dispatch.gate().longestWaitMs(work.route().statementTimeoutMs());
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementJournal.java
@@ -7,6 +7,7 @@
 import io.lycheejunction.gateway.metrics.GatewayMetrics;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.Optional;
+import java.util.function.Consumer;
 
 /**
  * Counts each decided statement and writes a line about it, within a budget.
@@ -47,6 +48,7 @@
   private final Budget successes = new Budget();
   private final Budget faults = new Budget();
   private long configurationVersion;
+  private Consumer<Optional<Fault>> onEnded = fault -> {};
 
   /**
    * Creates a journal.
@@ -59,6 +61,15 @@
     this.metrics = metrics;
   }
 
+  /**
+   * Sets who is told how each statement ends.
+   *
+   * @param changed is given the fault, or nothing after a success
+   */
+  public void tell(Consumer<Optional<Fault>> changed) {
+    onEnded = changed;
+  }
+
   /**
    * Sets the version of the configuration that decisions rest on from now on.
    *
@@ -74,6 +85,7 @@
    * @param entry what was decided
    */
   public void write(Entry entry) {
+    onEnded.accept(entry.fault());
     metrics.statement(
         entry.work().route().service(),
         entry.work().writes(),
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -24,6 +24,7 @@
  */
 public final class Transaction {
   private final Dispatch dispatch;
+  private final Chooser chooser;
   private final Route route;
   private final boolean readOnly;
   private final Set<String> tried = new HashSet<>();
@@ -64,6 +65,7 @@
    */
   public Transaction(Dispatch dispatch, Route route, boolean readOnly) {
     this.dispatch = dispatch;
+    this.chooser = dispatch.chooser();
     this.route = route;
     this.readOnly = readOnly;
   }
@@ -132,7 +134,7 @@
   }
 
   private void beginNext() {
-    if (run.tries >= Dispatch.MAX_TRIES) {
+    if (run.tries >= chooser.maxTries()) {
       fail(
           new Fault(
               ResultCode.NO_PRIMARY, "no target began the transaction", Dispatch.BUSY_RETRY_MS));
@@ -140,18 +142,15 @@
     }
     run.tries++;
     floor = beginFloor();
-    Optional<TargetHandle> chosen =
-        floor.isPresent()
-            ? dispatch.placement().choose(route.service(), floor.get(), tried, now())
-            : dispatch
-                .usablePrimaryOf(route.service())
-                .filter(handle -> !tried.contains(handle.target().id()));
+    Optional<TargetHandle> chosen = chooser.choose(route, floor, tried, now());
     if (chosen.isEmpty()) {
       waitForPrimary();
       return;
     }
     target = chosen.get();
-    BeginAttempt attempt = new BeginAttempt(dispatch, run.work, target, floor, new Beginning());
+    CallerStatement.Begin begin = chooser.begin(readOnly, floor);
+    BeginAttempt attempt =
+        new BeginAttempt(dispatch, run.work, target, floor, begin, new Beginning());
     beginning = Optional.of(attempt);
     attempt.start(run.startedMs + route.statementTimeoutMs());
   }
@@ -193,9 +192,7 @@
     if (!readOnly || route.readRule() instanceof ReadRule.Latest) {
       return Optional.empty();
     }
-    return dispatch
-        .positions()
-        .floor(route.service(), route.readRule(), run.work.sessionCommit(), now());
+    return chooser.floor(route, run.work.sessionCommit(), now());
   }
 
   private final class Beginning implements BeginAttempt.Listener {
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Work.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Work.java
@@ -65,10 +65,14 @@
     if (shape.isPresent()) {
       String arguments = ((CallerStatement.Execute) statement).arguments();
       link.runPrepared(
-          session, shape.get(), new PreparedCommand(requestId, after, arguments, rollBack), done);
+          session,
+          shape.get(),
+          new PreparedCommand(requestId, after, arguments, rollBack, route),
+          done);
       return;
     }
-    TargetCommand command = new TargetCommand.Run(Optional.of(requestId), after, statement);
+    TargetCommand command =
+        new TargetCommand.Run(Optional.of(requestId), after, statement, Optional.of(route));
     if (rollBack) {
       link.runAndRollBack(session, command, done);
     } else {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Failover.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Failover.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.gateway.dispatch.Positions;
 import io.lycheejunction.gateway.dispatch.PrimaryGate;
+import io.lycheejunction.gateway.holder.Role;
 import io.lycheejunction.gateway.link.TargetLinks;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.Targets;
@@ -19,6 +20,7 @@
  * @param links reads the answers of targets
  * @param board what VMs tell each other
  * @param peers asks other VMs directly
+ * @param role tells whether this VM watches primaries at all
  * @param orders orders promotions
  * @param gate holds statements meanwhile
  */
@@ -32,6 +34,7 @@
     TargetLinks links,
     FailoverBoard board,
     Peers peers,
+    Role role,
     PromotionOrders orders,
     PrimaryGate gate) {
   /** Rejects null components. */
@@ -45,6 +48,7 @@
     Objects.requireNonNull(links, "links is null");
     Objects.requireNonNull(board, "board is null");
     Objects.requireNonNull(peers, "peers is null");
+    Objects.requireNonNull(role, "role is null");
     Objects.requireNonNull(orders, "orders is null");
     Objects.requireNonNull(gate, "gate is null");
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -35,6 +35,11 @@
   /** Looks at all primaries now, since something has changed. */
   public void look() {
     lookSoon = false;
+    if (failover.role().isForwarding()) {
+      watches.clear();
+      noteIsolation();
+      return;
+    }
     for (String service : failover.targets().services()) {
       ServiceWatch watch =
           watches.computeIfAbsent(service, name -> new ServiceWatch(failover, name));
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -31,6 +31,11 @@
   private static final long LEAVING_SPREAD_MS = 300;
   private static final long ASK_INTERVAL_MS = 300;
 
+  /** When targets are asked who leads although a primary is known, in milliseconds. */
+  private static final long GONE_FOR_LONG_MS = 1_500;
+
+  private static final long NOT_GONE = Long.MAX_VALUE;
+
   /**
    * How long a VM that does not reach a leaving primary leaves its replacement to those that do, in
    * milliseconds: they can tell it to step down first, so that no commit is lost.
@@ -55,6 +60,7 @@
   private boolean probing;
   private boolean asking;
   private long startableFromMs = Long.MIN_VALUE;
+  private long goneSinceMs = NOT_GONE;
   private FailoverRun run;
 
   ServiceWatch(Failover failover, String service) {
@@ -85,9 +91,11 @@
       handle
           .pool()
           .refuseWaiting(Fault.of(ResultCode.TARGET_UNREACHABLE, "the primary does not answer"));
+      askWhenGoneForLong();
       decide(handle.target().id(), primary);
       return true;
     }
+    goneSinceMs = NOT_GONE;
     startableFromMs = Long.MIN_VALUE;
     return handle.isDoubtful(now());
   }
@@ -154,6 +162,16 @@
     return true;
   }
 
+  /** Another VM may have replaced the primary while the store tells nobody of it. */
+  private void askWhenGoneForLong() {
+    if (goneSinceMs == NOT_GONE) {
+      goneSinceMs = now();
+    }
+    if (now() - goneSinceMs >= GONE_FOR_LONG_MS) {
+      askForPrimary();
+    }
+  }
+
   /** Asks all targets who leads, since a promotion may not have been heard of. */
   private void askForPrimary() {
     if (asking || now() - lastAskMs < ASK_INTERVAL_MS) {
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/holder/HolderTargets.java
@@ -0,0 +1,55 @@
+package io.lycheejunction.gateway.holder;
+
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.route.RouteTable;
+import io.lycheejunction.gateway.route.ServiceLimits;
+import io.lycheejunction.gateway.target.Target;
+import io.lycheejunction.gateway.target.Targets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** Shows holders as targets, one for each service, so that statements are sent to them alike. */
+public final class HolderTargets {
+  /** The connections to one holder for one service: as many as a VM's callers use at once. */
+  private static final int CONNECTIONS = 10;
+
+  private static final int SLOTS = 1;
+
+  private HolderTargets() {}
+
+  /**
+   * Takes over the holders that are known now.
+   *
+   * @param targets the targets to change
+   * @param holders the holders
+   * @param routes the configuration, which names the services
+   */
+  public static void update(Targets targets, Collection<Holder> holders, RouteTable routes) {
+    Map<String, ServiceLimits> limits = new HashMap<>();
+    for (Route route : routes.routes().values()) {
+      limits.put(route.service(), new ServiceLimits(CONNECTIONS, 0));
+    }
+    List<Target> shown = new ArrayList<>();
+    for (Holder holder : holders) {
+      limits.keySet().forEach(service -> shown.add(targetOf(holder, service)));
+    }
+    targets.update(shown);
+    targets.share(limits, 1);
+  }
+
+  private static Target targetOf(Holder holder, String service) {
+    return new Target(
+        holder.vm() + '/' + service,
+        0,
+        service,
+        holder.statements(),
+        holder.failureDomain(),
+        SLOTS,
+        false,
+        false,
+        0);
+  }
+}
--- a/gateway/src/main/java/io/lycheejunction/gateway/link/TargetCommand.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/TargetCommand.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.route.Route;
 import java.util.Objects;
 import java.util.Optional;
 
@@ -14,14 +15,21 @@
    * @param requestId the caller's identifier; empty for statements that the gateway issues itself
    * @param after the position that the target's log must have, or else the target refuses
    * @param statement the statement
+   * @param route the route in force for it, for a VM that it is forwarded to; empty for statements
+   *     that the gateway issues itself
    */
-  record Run(Optional<String> requestId, Optional<LogPosition> after, CallerStatement statement)
+  record Run(
+      Optional<String> requestId,
+      Optional<LogPosition> after,
+      CallerStatement statement,
+      Optional<Route> route)
       implements TargetCommand {
     /** Rejects null components. */
     public Run {
       Objects.requireNonNull(requestId, "requestId is null");
       Objects.requireNonNull(after, "after is null");
       Objects.requireNonNull(statement, "statement is null");
+      Objects.requireNonNull(route, "route is null");
     }
   }
 
@@ -55,6 +63,6 @@
    * @return the command
    */
   static TargetCommand own(CallerStatement statement) {
-    return new Run(Optional.empty(), Optional.empty(), statement);
+    return new Run(Optional.empty(), Optional.empty(), statement, Optional.empty());
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -25,11 +25,13 @@
   /** The statements that may wait behind the one that runs. */
   static final int MAX_QUEUED = 64;
 
-  private record Query(String requestId, CallerStatement statement) {}
+  private record Query(
+      String requestId, CallerStatement statement, Optional<Forwarded> forwarded) {}
 
   private final Gateway gateway;
   private final CallerLink link;
   private final String database;
+  private final Origin origin;
   private final Deque<Query> queued = new ArrayDeque<>();
   private SessionState state = SessionState.empty();
   private LogPosition lastCommit = LogPosition.ORIGIN;
@@ -40,10 +42,11 @@
   private boolean closed;
   private boolean expired;
 
-  CallerSession(Gateway gateway, CallerLink link, String database) {
+  CallerSession(Gateway gateway, CallerLink link, String database, Origin origin) {
     this.gateway = gateway;
     this.link = link;
     this.database = database;
+    this.origin = origin;
   }
 
   /**
@@ -53,6 +56,27 @@
    * @param statement the statement
    */
   public void query(String requestId, CallerStatement statement) {
+    accept(new Query(requestId, statement, Optional.empty()));
+  }
+
+  /**
+   * Handles a statement that another VM forwards; statements are answered in order.
+   *
+   * @param requestId the caller's identifier
+   * @param statement the statement
+   * @param forwarded what the other VM says of it
+   */
+  public void query(String requestId, CallerStatement statement, Forwarded forwarded) {
+    accept(new Query(requestId, statement, Optional.of(forwarded)));
+  }
+
+  /** Forgets the values and prepared statements, for another session of the VM that forwards. */
+  public void reset() {
+    state = SessionState.empty();
+    answer();
+  }
+
+  private void accept(Query query) {
     if (closed) {
       return;
     }
@@ -61,10 +85,10 @@
         close();
         return;
       }
-      queued.addLast(new Query(requestId, statement));
+      queued.addLast(query);
       return;
     }
-    handle(new Query(requestId, statement));
+    handle(query);
   }
 
   /** Ends the session, since its caller has gone; what is open is rolled back. */
@@ -98,6 +122,10 @@
     return !busy && transaction == null && queued.isEmpty();
   }
 
+  boolean isForwarded() {
+    return origin == Origin.VM;
+  }
+
   /** Closes the session's connection, after what was answered. */
   void close() {
     ended();
@@ -115,6 +143,7 @@
   private void handle(Query query) {
     busy = true;
     stopIdleTimer();
+    query.forwarded().flatMap(Forwarded::sessionCommit).ifPresent(commit -> lastCommit = commit);
     if (transaction != null) {
       handleInTransaction(query);
     } else {
@@ -124,7 +153,7 @@
 
   private void handleOutside(Query query) {
     switch (query.statement()) {
-      case CallerStatement.Begin begin -> begin(begin);
+      case CallerStatement.Begin begin -> begin(query, begin);
       case CallerStatement.Read read -> runSingle(query, Optional.empty());
       case CallerStatement.Write write -> runSingle(query, Optional.empty());
       case CallerStatement.Execute execute -> runPreparedSingle(query, execute);
@@ -196,16 +225,31 @@
     answer();
   }
 
-  private void begin(CallerStatement.Begin begin) {
-    Optional<Route> route = gateway.route(database);
+  private void begin(Query query, CallerStatement.Begin begin) {
+    Optional<Route> route = routeOf(query);
     if (route.isEmpty()) {
-      refuse(Gateway.unknownDatabase(database));
+      refuse(noRoute());
       return;
     }
     transaction = new Transaction(gateway.dispatch(), route.get(), begin.readOnly());
     answer();
   }
 
+  private Optional<Route> routeOf(Query query) {
+    if (origin == Origin.CALLER) {
+      return gateway.route(database);
+    }
+    return gateway.isRefusingForwarded()
+        ? Optional.empty()
+        : query.forwarded().map(Forwarded::route);
+  }
+
+  private Fault noRoute() {
+    return origin == Origin.CALLER
+        ? Gateway.unknownDatabase(database)
+        : Fault.of(ResultCode.SHUTTING_DOWN, "this VM takes no new work");
+  }
+
   private void runPreparedSingle(Query query, CallerStatement.Execute execute) {
     Optional<PreparedShape> shape = state.shapeOf(execute.name());
     if (shape.isEmpty()) {
@@ -216,9 +260,9 @@
   }
 
   private void runSingle(Query query, Optional<PreparedShape> shape) {
-    Optional<Route> route = gateway.route(database);
+    Optional<Route> route = routeOf(query);
     if (route.isEmpty()) {
-      refuse(Gateway.unknownDatabase(database));
+      refuse(noRoute());
       return;
     }
     Work work =
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -30,6 +30,7 @@
   private final Set<CallerSession> sessions = new HashSet<>();
   private RouteTable routes = RouteTable.empty();
   private boolean closing;
+  private boolean refusingForwarded;
 
   /**
    * Creates a gateway without sessions.
@@ -55,19 +56,32 @@
       link.reject(unknownDatabase(database));
       return Optional.empty();
     }
-    CallerSession session = new CallerSession(this, link, database);
+    CallerSession session = new CallerSession(this, link, database, Origin.CALLER);
     sessions.add(session);
     link.accept();
     return Optional.of(session);
   }
 
+  /**
+   * Opens a session for statements that another VM forwards.
+   *
+   * @param link the connection of the other VM
+   * @param service the service that the statements are for
+   * @return the session
+   */
+  public CallerSession openForwarded(CallerLink link, String service) {
+    CallerSession session = new CallerSession(this, link, service, Origin.VM);
+    link.accept();
+    return session;
+  }
+
   /**
    * Returns whether the configuration and the targets are known.
    *
    * @return true if statements can be served
    */
   public boolean isReady() {
-    return !routes.isEmpty() && !dispatch.targets().isEmpty();
+    return !routes.isEmpty() && dispatch.hasTargets();
   }
 
   /** Accepts the sessions that wait for the configuration and the targets, if both are known. */
@@ -100,7 +114,7 @@
       link.reject(fault);
       return Optional.empty();
     }
-    CallerSession session = new CallerSession(this, link, database);
+    CallerSession session = new CallerSession(this, link, database, Origin.CALLER);
     Waiting entry = new Waiting(session, link, database);
     waiting.add(entry);
     dispatch
@@ -163,6 +177,15 @@
     closeResting();
   }
 
+  /** Refuses statements that other VMs forward from now on, so that they go elsewhere. */
+  public void refuseForwarded() {
+    refusingForwarded = true;
+  }
+
+  boolean isRefusingForwarded() {
+    return refusingForwarded;
+  }
+
   /** Closes the sessions that are at rest now. */
   public void closeResting() {
     List.copyOf(sessions).stream().filter(CallerSession::isAtRest).forEach(CallerSession::close);
@@ -190,7 +213,7 @@
   }
 
   void atRest(CallerSession session) {
-    if (closing && session.isAtRest()) {
+    if (closing && session.isAtRest() && !session.isForwarded()) {
       session.close();
     }
   }
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Origin.java
@@ -0,0 +1,9 @@
+package io.lycheejunction.gateway.session;
+
+/** Who opened a session. */
+enum Origin {
+  /** A caller. */
+  CALLER,
+  /** Another VM, which forwards the statements of its callers. */
+  VM
+}
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.holder.Role;
 import io.lycheejunction.gateway.link.FakeLinks;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.metrics.GatewayMetrics;
@@ -59,6 +60,8 @@
   public final ManualScheduler scheduler = new ManualScheduler();
   public final FakeLinks links = new FakeLinks();
   public final Targets targets = new Targets(scheduler, links);
+  public final Targets holders = new Targets(scheduler, links);
+  public final Role role = new Role();
   public final Positions positions = new Positions();
   public final PrimaryGate gate = new PrimaryGate(scheduler);
   public final Doubts doubts = new Doubts();
@@ -67,7 +70,9 @@
           scheduler,
           targets,
           positions,
-          new Placement(targets, "domain-i-2"),
+          new Chooser.Direct(targets, positions, new Placement(targets, "domain-i-2")),
+          new Chooser.Forwarding(holders, new Placement(holders, "domain-i-2")),
+          role,
           gate,
           new Hedging(),
           doubts,
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
@@ -0,0 +1,121 @@
+package io.lycheejunction.gateway.dispatch;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.holder.Holder;
+import io.lycheejunction.gateway.holder.HolderTargets;
+import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ReadRule;
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.route.RouteTable;
+import io.lycheejunction.gateway.target.Endpoint;
+import io.lycheejunction.gateway.target.TestTargets;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Answers targets that accept fewer connections than there are VMs: this VM holds none. */
+class ForwardingTest {
+  private static final String NEAR = "vm-near/" + TestTargets.SERVICE;
+  private static final String FAR = "vm-far/" + TestTargets.SERVICE;
+  private static final Route ROUTE =
+      new Route("db", TestTargets.SERVICE, new ReadRule.Latest(), 1_000, 200, 1);
+
+  private final DispatchFixture fixture = new DispatchFixture();
+
+  private static Holder holder(String vm, String failureDomain) {
+    Endpoint endpoint = new Endpoint("10.0.0.9", 7_441);
+    return new Holder(vm, failureDomain, endpoint, endpoint);
+  }
+
+  @BeforeEach
+  void forward() {
+    HolderTargets.update(
+        fixture.holders,
+        List.of(holder("vm-near", "domain-i-2"), holder("vm-far", "domain-i-1")),
+        new RouteTable(1, Map.of("db", ROUTE), Map.of(), 0));
+    fixture.role.forward();
+  }
+
+  private TargetCommand.Run sent(String id) {
+    FakeLink link = fixture.links.last(id);
+    return assertInstanceOf(TargetCommand.Run.class, link.greet().sent().getFirst());
+  }
+
+  @Test
+  void shouldSendToTheHolderInItsOwnFailureDomainTogetherWithTheRoute() {
+    fixture.run(new ReadRule.Latest(), DispatchFixture.read());
+
+    TargetCommand.Run run = sent(NEAR);
+    assertEquals(DispatchFixture.read(), run.statement());
+    assertEquals(new ReadRule.Latest(), run.route().orElseThrow().readRule());
+  }
+
+  @Test
+  void shouldSendWriteToAnyHolderSinceThatFindsThePrimary() {
+    fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+
+    assertEquals(DispatchFixture.write(), sent(NEAR).statement());
+  }
+
+  @Test
+  void shouldSendTheCommitOfTheSessionWhenReadsMustSeeOwnWrites() {
+    fixture.run(new ReadRule.OwnWrites(2_500), DispatchFixture.read());
+
+    assertEquals(Optional.of(LogPosition.ORIGIN), sent(NEAR).after());
+  }
+
+  /** Answers a holder that stops, and says of each statement that it has not run. */
+  @Test
+  void shouldTryAnotherHolderWhenTheFirstTakesNoNewWork() {
+    final DispatchFixture.Ending ending =
+        fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.links.last(NEAR).greet().fault(ResultCode.TARGET_BUSY, TransactionState.NONE);
+
+    fixture.links.last(FAR).greet().done(TransactionState.NONE, 1, 5);
+
+    assertTrue(ending.isDone());
+  }
+
+  /** Answers a holder that lost power: its address answers nothing at all. */
+  @Test
+  void shouldTryAnotherHolderWhenNoConnectionOpensInTime() {
+    final DispatchFixture.Ending ending =
+        fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+
+    fixture.scheduler.advanceMs(260);
+    fixture.links.last(FAR).greet().done(TransactionState.NONE, 1, 5);
+
+    assertTrue(ending.isDone());
+  }
+
+  /** Answers a holder that is killed after it got a write: nobody knows whether it ran. */
+  @Test
+  void shouldNotSendWriteAgainWhenTheHolderIsLostAfterItWasSent() {
+    final DispatchFixture.Ending ending =
+        fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.links.last(NEAR).greet().drop();
+
+    assertEquals(ResultCode.UNKNOWN_OUTCOME, ending.fault().code());
+    assertTrue(fixture.links.to(FAR).isEmpty());
+  }
+
+  @Test
+  void shouldBeginTransactionAtTheHolderAsTheCallerAsked() {
+    Transaction transaction = new Transaction(fixture.dispatch, ROUTE, true);
+    transaction.run(
+        DispatchFixture.work(new ReadRule.Latest(), DispatchFixture.read()),
+        new DispatchFixture.Ending());
+
+    assertEquals(new CallerStatement.Begin(true), sent(NEAR).statement());
+  }
+}
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -84,6 +84,7 @@
           group.links,
           board,
           this::ask,
+          group.role,
           this::promote,
           group.gate);
   final PrimaryWatch watch = new PrimaryWatch(failover);
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -333,6 +333,20 @@
     assertFalse(fixture.watch.isIsolated());
   }
 
+  /** Answers a promotion that another VM ordered while the store tells nobody of it. */
+  @Test
+  void shouldAskTargetsWhoLeadsWhenThePrimaryIsGone() {
+    fixture.crashPrimary();
+    fixture.othersVote(false);
+    fixture.watch.look();
+    fixture.group.scheduler.advanceMs(1_500);
+    fixture.watch.look();
+
+    assertTrue(
+        fixture.group.links.last("i-3").greet().sent().stream()
+            .anyMatch(command -> command instanceof TargetCommand.AskStatus));
+  }
+
   @Test
   void shouldAskTargetsWhoLeadsWhenNoPrimaryIsKnown() {
     fixture.group.targets.update(
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -12,6 +12,8 @@
 import io.lycheejunction.gateway.link.FakeLinks;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ReadRule;
+import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.schedule.ManualScheduler;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
@@ -20,6 +22,8 @@
 import org.junit.jupiter.api.Test;
 
 class TargetPoolTest {
+  private static final Route ROUTE =
+      new Route("db", TestTargets.SERVICE, new ReadRule.Latest(), 1_000, 200, 1);
 
   /** Remembers what it was told. */
   private static final class Wish implements LinkRequest {
@@ -81,7 +85,8 @@
   }
 
   private static TargetCommand read() {
-    return new TargetCommand.Run(Optional.of("r"), Optional.empty(), new CallerStatement.Read("x"));
+    return new TargetCommand.Run(
+        Optional.of("r"), Optional.empty(), new CallerStatement.Read("x"), Optional.empty());
   }
 
   private PooledLink open(SessionState session) {
@@ -160,7 +165,7 @@
     PooledLink link = open(ALICE);
     PreparedShape reads = new PreparedShape(false, "q");
     PreparedShape writes = new PreparedShape(true, "q");
-    PreparedCommand command = new PreparedCommand("r", Optional.empty(), "x", false);
+    PreparedCommand command = new PreparedCommand("r", Optional.empty(), "x", false, ROUTE);
 
     link.runPrepared(SessionState.empty(), reads, command, result -> {});
     link.runPrepared(SessionState.empty(), writes, command, result -> {});
