--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -4,29 +4,15 @@
 import io.lycheejunction.core.failover.PreVote;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.statement.CallerStatement;
-import io.lycheejunction.core.statement.SessionState;
-import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TargetCommand;
-import io.lycheejunction.gateway.link.TransactionState;
-import io.lycheejunction.gateway.pool.LinkRequest;
-import io.lycheejunction.gateway.pool.LinkResult;
-import io.lycheejunction.gateway.pool.PooledLink;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 
 /** Watches the primary of one service, and starts to replace it when it is gone or leaves. */
 final class ServiceWatch {
   private static final EventLog LOG = EventLog.of(ServiceWatch.class);
-  private static final long PROBE_INTERVAL_MS = 1_000;
-  private static final long PROBE_TIMEOUT_MS = 900;
-  private static final long DOUBT_INTERVAL_MS = 100;
   private static final long REPEAT_VOTE_MS = 1_000;
   private static final long LEAVING_SPREAD_MS = 300;
   private static final long ASK_INTERVAL_MS = 300;
@@ -51,13 +37,12 @@
   private final Failover failover;
   private final String service;
   private final long jitterMs;
-  private final PeerVotes peerVotes;
+  private final Electorate electorate;
+  private final PrimaryProbe probe;
   private Optional<String> lastPrimary = Optional.empty();
   private Optional<Boolean> lastVote = Optional.empty();
   private long lastVoteMs;
-  private long lastProbeMs = Long.MIN_VALUE / 2;
   private long lastAskMs = Long.MIN_VALUE / 2;
-  private boolean probing;
   private boolean asking;
   private long startableFromMs = Long.MIN_VALUE;
   private long goneSinceMs = NOT_GONE;
@@ -66,7 +51,8 @@
   ServiceWatch(Failover failover, String service) {
     this.failover = failover;
     this.service = service;
-    this.peerVotes = new PeerVotes(failover, service);
+    this.electorate = new Electorate(failover, service);
+    this.probe = new PrimaryProbe(failover, service);
     this.jitterMs = Math.floorMod((failover.vm() + '/' + service).hashCode(), LEAVING_SPREAD_MS);
   }
 
@@ -78,7 +64,7 @@
       return lookWithoutPrimary();
     }
     TargetHandle handle = primary.get();
-    probeIfDue(handle);
+    probe.askIfDue(handle);
     boolean gone = handle.isGone(now());
     boolean canStepDown = handle.target().leaving() || !gone;
     if (failover.targets().isLeaving(handle) && canStepDown) {
@@ -118,7 +104,7 @@
     if (now() - handle.lastAnswerMs() <= FRESH_ANSWER_MS) {
       return Optional.of(ownVote(handle.target().id(), false));
     }
-    probe(handle);
+    probe.ask(handle);
     return Optional.empty();
   }
 
@@ -210,19 +196,13 @@
 
   private void voteOn(TargetHandle handle, boolean gone) {
     String primary = handle.target().id();
-    boolean asked =
-        failover.board().votes(service).stream()
-            .anyMatch(
-                vote ->
-                    vote.primary().equals(primary)
-                        && vote.gone()
-                        && !vote.vm().equals(failover.vm()));
+    boolean asked = electorate.isDoubtedByOthers(primary);
     if (gone || lastVote.equals(Optional.of(true))) {
       vote(primary, gone);
     } else if (asked && now() - handle.lastAnswerMs() <= FRESH_ANSWER_MS) {
       vote(primary, false);
     } else if (asked) {
-      probe(handle);
+      probe.ask(handle);
     }
   }
 
@@ -238,44 +218,13 @@
   }
 
   private void decide(String primary, Optional<TargetHandle> handle) {
-    Map<String, String> vms = knownVms(primary);
-    List<Vote> votes = votesOn(primary);
-    boolean registered = failover.targets().find(primary).isPresent();
-    PreVote.Outcome outcome = Judgement.of(vms, primary, votes, registered);
-    Set<String> silent = new HashSet<>(vms.keySet());
-    votes.forEach(vote -> silent.remove(vote.vm()));
-    if (mayBeGranted(vms, primary, votes)) {
-      peerVotes.ask(primary, silent);
-    }
-    if (outcome == PreVote.Outcome.GRANTED && peerVotes.haveBeenAsked(silent)) {
+    if (electorate.judge(primary) == PreVote.Outcome.GRANTED) {
       startOnceAfter(OBJECTION_MS, "gone", handle, false);
-    } else if (outcome != PreVote.Outcome.GRANTED) {
+    } else {
       startableFromMs = Long.MIN_VALUE;
     }
   }
 
-  /** Returns whether the votes would be enough if the VMs that have not voted did not count. */
-  private static boolean mayBeGranted(Map<String, String> vms, String primary, List<Vote> votes) {
-    return Judgement.of(vms, primary, votes, false) == PreVote.Outcome.GRANTED;
-  }
-
-  /** Returns the failure domain of each VM that may reach the primary, by its name. */
-  private Map<String, String> knownVms(String primary) {
-    Map<String, String> vms = new HashMap<>(failover.board().presentVms());
-    peerVotes.absent().forEach(vms::remove);
-    vms.put(failover.vm(), failover.failureDomain());
-    votesOn(primary).forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
-    return vms;
-  }
-
-  /** Returns the votes on a primary, one a VM; what a VM says directly goes first. */
-  private List<Vote> votesOn(String primary) {
-    Map<String, Vote> byVm = new HashMap<>();
-    failover.board().votes(service).forEach(vote -> byVm.put(vote.vm(), vote));
-    peerVotes.votes().forEach(vote -> byVm.put(vote.vm(), vote));
-    return byVm.values().stream().filter(vote -> vote.primary().equals(primary)).toList();
-  }
-
   private void startOnceAfter(
       long delayMs, String reason, Optional<TargetHandle> previous, boolean stepsDown) {
     if (startableFromMs == Long.MIN_VALUE) {
@@ -297,88 +246,7 @@
     run.start();
   }
 
-  private void probeIfDue(TargetHandle handle) {
-    boolean doubtful = handle.isDoubtful(now());
-    long proofAgeMs = failover.positions().of(service).newestAgeMs(now());
-    boolean due = doubtful || proofAgeMs > PROBE_INTERVAL_MS;
-    long pauseMs = doubtful ? DOUBT_INTERVAL_MS : PROBE_INTERVAL_MS;
-    if (due && now() - lastProbeMs >= pauseMs) {
-      probe(handle);
-    }
-  }
-
-  private void probe(TargetHandle handle) {
-    if (!probing) {
-      probing = true;
-      lastProbeMs = now();
-      handle.pool().acquire(new Probe(handle));
-    }
-  }
-
   private long now() {
     return failover.scheduler().nowMs();
   }
-
-  /** Asks the primary to begin a transaction, which shows that it leads, and ends it at once. */
-  private final class Probe implements LinkRequest {
-    private final TargetHandle handle;
-    private final long askedMs = now();
-
-    private Probe(TargetHandle handle) {
-      this.handle = handle;
-    }
-
-    @Override
-    public SessionState session() {
-      return SessionState.empty();
-    }
-
-    @Override
-    public int priority() {
-      return QUESTION;
-    }
-
-    @Override
-    public long untilMs() {
-      return askedMs + PROBE_TIMEOUT_MS;
-    }
-
-    @Override
-    public void granted(PooledLink link) {
-      handle.asked(now());
-      long sentMs = now();
-      link.runAndRollBack(
-          SessionState.empty(),
-          TargetCommand.own(new CallerStatement.Begin(false)),
-          result -> onResult(link, sentMs, result));
-      failover
-          .scheduler()
-          .schedule(
-              PROBE_TIMEOUT_MS,
-              () -> {
-                if (probing && lastProbeMs == askedMs) {
-                  link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "no answer to a probe"));
-                }
-              });
-    }
-
-    @Override
-    public void refused(Fault fault) {
-      probing = false;
-    }
-
-    private void onResult(PooledLink link, long sentMs, LinkResult result) {
-      probing = false;
-      if (result instanceof LinkResult.Replied(LinkReply reply)) {
-        handle.heard(now());
-        link.release();
-        reply.fault().ifPresent(fault -> handle.failed(fault, now()));
-        if (reply.isDone() && reply.state() == TransactionState.OPEN) {
-          reply
-              .position()
-              .ifPresent(position -> failover.positions().of(service).record(sentMs, position));
-        }
-      }
-    }
-  }
 }
