Let a holder that stops finish what other VMs forwarded, and pass its time to come back on

Cause, found by reading: a holder counted only its callers' sessions, so it could end while a forwarded statement or transaction was under way; and the VM that forwards replaced the holder's time to come back by its own default.

Tests for both, for the route and position that go with a forwarded statement, and for a session that follows another on the same connection.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -216,7 +216,7 @@
     Fault cause = lastRefusal == null ? Dispatch.noPrimary(work.route().service()) : lastRefusal;
     long retryAfterMs =
         Math.max(dispatch.gate().expectedMs(work.route().service()), Dispatch.BUSY_RETRY_MS);
-    return new Fault(cause.code(), cause.detail(), retryAfterMs);
+    return new Fault(cause.code(), cause.detail(), Math.max(cause.retryAfterMs(), retryAfterMs));
   }
 
   private void onTimeout() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -28,6 +28,7 @@
   private final Dispatch dispatch;
   private final Set<Waiting> waiting = new LinkedHashSet<>();
   private final Set<CallerSession> sessions = new HashSet<>();
+  private final Set<CallerSession> forwarded = new HashSet<>();
   private RouteTable routes = RouteTable.empty();
   private boolean closing;
   private boolean refusingForwarded;
@@ -71,6 +72,7 @@
    */
   public CallerSession openForwarded(CallerLink link, String service) {
     CallerSession session = new CallerSession(this, link, service, Origin.VM);
+    forwarded.add(session);
     link.accept();
     return session;
   }
@@ -171,6 +173,15 @@
     return sessions.size();
   }
 
+  /**
+   * Returns whether no caller has a session and nothing that other VMs forwarded is under way.
+   *
+   * @return true if the process can end without harm
+   */
+  public boolean isQuiet() {
+    return sessions.isEmpty() && forwarded.stream().allMatch(CallerSession::isAtRest);
+  }
+
   /** Closes each session as soon as it is at rest. */
   public void closeSessions() {
     closing = true;
@@ -194,6 +205,7 @@
   /** Ends transactions that wait for their caller, so that their sessions can be closed. */
   public void expireTransactions() {
     List.copyOf(sessions).forEach(CallerSession::expireTransaction);
+    List.copyOf(forwarded).forEach(CallerSession::expireTransaction);
   }
 
   Dispatch dispatch() {
@@ -210,6 +222,7 @@
 
   void forget(CallerSession session) {
     sessions.remove(session);
+    forwarded.remove(session);
   }
 
   void atRest(CallerSession session) {
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
@@ -0,0 +1,154 @@
+package io.lycheejunction.gateway.session;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.statement.CallerStatement;
+import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.dispatch.DispatchFixture;
+import io.lycheejunction.gateway.link.CallerLink;
+import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.link.TargetCommand;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.route.ReadRule;
+import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.target.TestTargets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Answers VMs without connections, which forward their callers' statements to this one. */
+class ForwardedSessionTest {
+
+  /** Remembers what the other VM was told, one word each. */
+  private static final class OtherVm implements CallerLink {
+    private final List<String> told = new ArrayList<>();
+
+    @Override
+    public void accept() {
+      told.add("accepted");
+    }
+
+    @Override
+    public void reject(Fault fault) {
+      told.add("rejected " + fault.code());
+    }
+
+    @Override
+    public void answer(
+        List<String> rows,
+        Optional<String> signature,
+        TransactionState state,
+        Optional<LogPosition> position) {
+      told.add("done " + state);
+    }
+
+    @Override
+    public void refuse(Fault fault, TransactionState state) {
+      told.add(fault.code() + " " + state);
+    }
+
+    @Override
+    public void close() {
+      told.add("closed");
+    }
+  }
+
+  private static final CallerStatement WRITE = new CallerStatement.Write("x 1");
+
+  private final DispatchFixture fixture = new DispatchFixture();
+  private final Gateway gateway = new Gateway(fixture.dispatch);
+  private final OtherVm vm = new OtherVm();
+  private final CallerSession session = gateway.openForwarded(vm, TestTargets.SERVICE);
+
+  private static Forwarded by(ReadRule rule, Optional<LogPosition> commit) {
+    return new Forwarded(new Route("db", TestTargets.SERVICE, rule, 1_000, 200, 1), commit);
+  }
+
+  private static Forwarded latest() {
+    return by(new ReadRule.Latest(), Optional.empty());
+  }
+
+  @Test
+  void shouldFollowTheRouteThatComesWithTheStatementWhenItHasNoConfiguration() {
+    session.query("1", WRITE, latest());
+
+    fixture.links.last("i-1").greet().done(TransactionState.NONE, 1, 5);
+
+    assertEquals(List.of("accepted", "done NONE"), vm.told);
+  }
+
+  @Test
+  void shouldReadAfterTheCommitThatComesWithTheStatement() {
+    fixture.prove(1, 3);
+
+    session.query(
+        "1",
+        DispatchFixture.read(),
+        by(new ReadRule.OwnWrites(2_500), Optional.of(new LogPosition(1, 9))));
+
+    TargetCommand.Run run = (TargetCommand.Run) fixture.links.last("i-2").greet().sent().getFirst();
+    assertEquals(Optional.of(new LogPosition(1, 9)), run.after());
+  }
+
+  /** Answers a connection between VMs that serves one session after the other. */
+  @Test
+  void shouldNotKeepTheCommitOfAnEarlierSession() {
+    fixture.prove(1, 3);
+    session.query(
+        "1",
+        DispatchFixture.read(),
+        by(new ReadRule.OwnWrites(2_500), Optional.of(new LogPosition(1, 9))));
+    FakeLink link = fixture.links.last("i-2").greet();
+    link.done(TransactionState.NONE, 1, 9);
+
+    session.query(
+        "2",
+        DispatchFixture.read(),
+        by(new ReadRule.OwnWrites(2_500), Optional.of(LogPosition.ORIGIN)));
+
+    assertEquals(
+        Optional.of(new LogPosition(1, 3)), ((TargetCommand.Run) link.sent().getFirst()).after());
+  }
+
+  /** Answers the shutdown of a holder: what it refuses can be tried elsewhere. */
+  @Test
+  void shouldRefuseNewWorkAsNotRunWhenTheVmStops() {
+    gateway.refuseForwarded();
+
+    session.query("1", WRITE, latest());
+
+    assertEquals("SHUTTING_DOWN NONE", vm.told.getLast());
+    assertTrue(fixture.links.to("i-1").isEmpty());
+  }
+
+  @Test
+  void shouldFinishTheTransactionThatIsOpenWhenTheVmStops() {
+    session.query("1", new CallerStatement.Begin(false), latest());
+    session.query("2", WRITE, latest());
+    FakeLink link = fixture.links.last("i-1").greet();
+    link.done(TransactionState.OPEN, 1, 5);
+    link.done(TransactionState.OPEN, 1, 5);
+    gateway.refuseForwarded();
+    assertFalse(gateway.isQuiet());
+
+    session.query("3", new CallerStatement.Commit(), latest());
+    link.done(TransactionState.NONE, 1, 6);
+
+    assertEquals("done NONE", vm.told.getLast());
+    assertTrue(gateway.isQuiet());
+  }
+
+  @Test
+  void shouldForgetValuesWhenTheConnectionServesAnotherSession() {
+    session.query("1", new CallerStatement.SetValue("user", "alice"));
+    session.reset();
+
+    session.query("2", WRITE, latest());
+
+    assertEquals(1, fixture.links.last("i-1").greet().sent().size());
+  }
+}
