Try a refused statement at another holder only where the holder is at fault

A holder tries all targets, and the VM that forwards then asked up to two more holders, each of which tried all of them.

Change: refusals between our VMs are told apart by the number of their result code; a VM that forwards tries another holder after a refusal only if that holder stops, opens no connection or knows no primary. A holder whose targets are busy is not avoided.

--- a/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
+++ b/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
@@ -1,5 +1,8 @@
 package io.lycheejunction.core.result;
 
+import java.util.Arrays;
+import java.util.Optional;
+
 /**
  * Numbers every answer that a program of lycheejunction gives.
  *
@@ -130,6 +133,16 @@
     this.httpStatus = httpStatus;
   }
 
+  /**
+   * Returns the code with a number.
+   *
+   * @param number the number
+   * @return the code, or empty if no code has the number
+   */
+  public static Optional<ResultCode> ofNumber(int number) {
+    return Arrays.stream(values()).filter(code -> code.number == number).findFirst();
+  }
+
   /**
    * Returns the code's number, which never changes once published.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Chooser.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Chooser.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.gateway.dispatch;
 
+import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.route.ReadRule;
@@ -50,6 +51,14 @@
    */
   int maxTries();
 
+  /**
+   * Returns whether a statement that has not run is tried again after a refusal.
+   *
+   * @param fault the refusal
+   * @return true if another target may do better
+   */
+  boolean isTriedAgainAfter(Fault fault);
+
   /**
    * Returns whether there is any target.
    *
@@ -101,6 +110,11 @@
       return MAX_TRIES;
     }
 
+    @Override
+    public boolean isTriedAgainAfter(Fault fault) {
+      return true;
+    }
+
     @Override
     public boolean hasTargets() {
       return !targets.isEmpty();
@@ -143,6 +157,15 @@
       return MAX_TRIES;
     }
 
+    /** A holder has tried all targets; another one may do better only if the holder is at fault. */
+    @Override
+    public boolean isTriedAgainAfter(Fault fault) {
+      return switch (fault.code()) {
+        case SHUTTING_DOWN, NO_CONNECTION, TARGET_UNREACHABLE, WRONG_TARGET, NO_PRIMARY -> true;
+        default -> false;
+      };
+    }
+
     @Override
     public boolean hasTargets() {
       return !holders.isEmpty();
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Leg.java
@@ -115,7 +115,9 @@
     request = null;
     beginning = Optional.empty();
     ended = true;
-    target.failed(fault, now());
+    if (dispatch.chooser().isTriedAgainAfter(fault)) {
+      target.failed(fault, now());
+    }
     listener.refused(this, fault);
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -88,6 +88,10 @@
   @Override
   public void refused(Leg leg, Fault fault) {
     lastRefusal = fault;
+    if (!ended && !chooser.isTriedAgainAfter(fault) && isLast(leg)) {
+      fail(refusal());
+      return;
+    }
     retry(leg);
   }
 
@@ -113,10 +117,13 @@
   }
 
   private void retry(Leg leg) {
-    if (ended || legs.stream().anyMatch(other -> other != leg && !other.isEnded())) {
-      return;
+    if (!ended && isLast(leg)) {
+      tryNext();
     }
-    tryNext();
+  }
+
+  private boolean isLast(Leg leg) {
+    return legs.stream().allMatch(other -> other == leg || other.isEnded());
   }
 
   private void tryNext() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -208,6 +208,10 @@
     @Override
     public void refused(Fault fault) {
       beginning = Optional.empty();
+      if (!chooser.isTriedAgainAfter(fault)) {
+        fail(fault);
+        return;
+      }
       tried.add(target.target().id());
       beginNext();
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -203,7 +203,7 @@
         notPrimaryUntilRevision = target.revision();
         provenTerm = 0;
       }
-      case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION ->
+      case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION, SHUTTING_DOWN ->
           avoidUntilMs = nowMs + UNREACHABLE_PAUSE_MS;
       default -> {
         // Other faults say nothing of the target itself.
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
@@ -79,13 +79,25 @@
   void shouldTryAnotherHolderWhenTheFirstTakesNoNewWork() {
     final DispatchFixture.Ending ending =
         fixture.run(new ReadRule.Latest(), DispatchFixture.write());
-    fixture.links.last(NEAR).greet().fault(ResultCode.TARGET_BUSY, TransactionState.NONE);
+    fixture.links.last(NEAR).greet().fault(ResultCode.SHUTTING_DOWN, TransactionState.NONE);
 
     fixture.links.last(FAR).greet().done(TransactionState.NONE, 1, 5);
 
     assertTrue(ending.isDone());
   }
 
+  /** Answers an overload: a holder has tried all targets, and others would only ask them again. */
+  @Test
+  void shouldRefuseAtOnceWhenTheHolderFoundAllTargetsBusy() {
+    final DispatchFixture.Ending ending =
+        fixture.run(new ReadRule.Latest(), DispatchFixture.read());
+
+    fixture.links.last(NEAR).greet().fault(ResultCode.TARGET_BUSY, TransactionState.NONE);
+
+    assertEquals(ResultCode.TARGET_BUSY, ending.fault().code());
+    assertTrue(fixture.links.to(FAR).isEmpty());
+  }
+
   /** Answers a holder that lost power: its address answers nothing at all. */
   @Test
   void shouldTryAnotherHolderWhenNoConnectionOpensInTime() {
