Forward no statement twice

Cause, found by reading: a VM that had lost its place, while others still took it for a holder, forwarded on what it was sent; two such VMs could pass a statement to and fro until its time limit.

Change: a VM that forwards refuses forwarded statements as not run. Test first: the refusal was missing.

--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -239,9 +239,7 @@
     if (origin == Origin.CALLER) {
       return gateway.route(database);
     }
-    return gateway.isRefusingForwarded()
-        ? Optional.empty()
-        : query.forwarded().map(Forwarded::route);
+    return gateway.takesForwarded() ? query.forwarded().map(Forwarded::route) : Optional.empty();
   }
 
   private Fault noRoute() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -193,8 +193,12 @@
     refusingForwarded = true;
   }
 
-  boolean isRefusingForwarded() {
-    return refusingForwarded;
+  /**
+   * Returns whether statements that other VMs forward are taken. A VM that forwards itself takes
+   * none, so that no statement is forwarded twice.
+   */
+  boolean takesForwarded() {
+    return !refusingForwarded && !dispatch.role().isForwarding();
   }
 
   /** Closes the sessions that are at rest now. */
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
@@ -125,6 +125,16 @@
     assertTrue(fixture.links.to("i-1").isEmpty());
   }
 
+  /** Answers a holder that has lost its place while others still forward to it. */
+  @Test
+  void shouldNotForwardAgainWhatWasForwarded() {
+    fixture.role.forward();
+
+    session.query("1", WRITE, latest());
+
+    assertEquals("SHUTTING_DOWN NONE", vm.told.getLast());
+  }
+
   @Test
   void shouldFinishTheTransactionThatIsOpenWhenTheVmStops() {
     session.query("1", new CallerStatement.Begin(false), latest());
