--- a/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
@@ -4,71 +4,27 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.statement.PreparedShape;
-import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
-import io.lycheejunction.gateway.link.CallerLink;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.route.RouteTable;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class CallerSessionTest {
 
-  /** Remembers what the caller was told, one word each. */
-  private static final class Caller implements CallerLink {
-    private final List<String> told = new ArrayList<>();
-    private boolean closed;
-
-    @Override
-    public void accept() {
-      told.add("accepted");
-    }
-
-    @Override
-    public void reject(Fault fault) {
-      told.add("rejected " + fault.code());
-    }
-
-    @Override
-    public void answer(
-        List<String> rows,
-        Optional<String> signature,
-        TransactionState state,
-        Optional<LogPosition> position) {
-      told.add("done " + state);
-    }
-
-    @Override
-    public void refuse(Fault fault, TransactionState state) {
-      told.add(fault.code() + " " + state);
-    }
-
-    @Override
-    public void close() {
-      closed = true;
-    }
-
-    private String last() {
-      return told.getLast();
-    }
-  }
-
   private static final long IDLE_TRANSACTION_MS = 3_000;
 
   private final DispatchFixture fixture = new DispatchFixture();
   private final Gateway gateway = new Gateway(fixture.dispatch);
-  private final Caller caller = new Caller();
+  private final RecordedCaller caller = new RecordedCaller();
   private final CallerSession session;
 
   CallerSessionTest() {
@@ -96,7 +52,7 @@
 
   @Test
   void shouldRejectSessionWhenItsDatabaseHasNoRoute() {
-    Caller other = new Caller();
+    RecordedCaller other = new RecordedCaller();
 
     assertTrue(gateway.open(other, "unknown").isEmpty());
     assertEquals("rejected UNKNOWN_SERVICE", other.last());
@@ -105,7 +61,7 @@
   @Test
   void shouldAcceptWaitingSessionsWhenTheFirstConfigurationComes() {
     Gateway fresh = new Gateway(fixture.dispatch);
-    Caller early = new Caller();
+    RecordedCaller early = new RecordedCaller();
 
     fresh.open(early, "db");
     assertTrue(early.told.isEmpty());
@@ -117,7 +73,7 @@
   @Test
   void shouldRejectWaitingSessionWhenNoConfigurationComes() {
     Gateway fresh = new Gateway(fixture.dispatch);
-    Caller early = new Caller();
+    RecordedCaller early = new RecordedCaller();
     fresh.open(early, "db");
 
     fixture.scheduler.advanceMs(1_500);
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
@@ -4,18 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
-import io.lycheejunction.gateway.link.CallerLink;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.target.TestTargets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
@@ -23,45 +20,11 @@
 /** Answers VMs without connections, which forward their callers' statements to this one. */
 class ForwardedSessionTest {
 
-  /** Remembers what the other VM was told, one word each. */
-  private static final class OtherVm implements CallerLink {
-    private final List<String> told = new ArrayList<>();
-
-    @Override
-    public void accept() {
-      told.add("accepted");
-    }
-
-    @Override
-    public void reject(Fault fault) {
-      told.add("rejected " + fault.code());
-    }
-
-    @Override
-    public void answer(
-        List<String> rows,
-        Optional<String> signature,
-        TransactionState state,
-        Optional<LogPosition> position) {
-      told.add("done " + state);
-    }
-
-    @Override
-    public void refuse(Fault fault, TransactionState state) {
-      told.add(fault.code() + " " + state);
-    }
-
-    @Override
-    public void close() {
-      told.add("closed");
-    }
-  }
-
   private static final CallerStatement WRITE = new CallerStatement.Write("x 1");
 
   private final DispatchFixture fixture = new DispatchFixture();
   private final Gateway gateway = new Gateway(fixture.dispatch);
-  private final OtherVm vm = new OtherVm();
+  private final RecordedCaller vm = new RecordedCaller();
   private final CallerSession session = gateway.openForwarded(vm, TestTargets.SERVICE);
 
   private static Forwarded by(ReadRule rule, Optional<LogPosition> commit) {
