Follow a store that was restored from an older copy

Cause: a restore takes the store's version back and assigns it again. The feeds took the lower version for a stale answer and read the table again for ever; the fencing token, which was that version, fell; votes and leases of the copy counted as new; holders whose rows were lost had their slots claimed.

A registration that its target has superseded is ignored (now read: seq), also for 60 s after the target was dropped.

Three in TargetsTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -229,6 +229,10 @@
     if (ended) {
       return;
     }
+    if (!failover.store().isCurrent(token)) {
+      end("the store was restored after the lease was acquired");
+      return;
+    }
     orders++;
     lastOrderMs = now();
     failover.gate().onPromotionOrdered(service);
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverStore.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverStore.java
@@ -64,6 +64,15 @@
    */
   Optional<Lease> lease(String service);
 
+  /**
+   * Returns whether a fencing token may still be used. A token that was issued before the store was
+   * restored from a copy may not, since the copy may lack the lease.
+   *
+   * @param token the fencing token of a lease that this process has acquired
+   * @return true if no restore has been noticed since the token was issued
+   */
+  boolean isCurrent(long token);
+
   /**
    * Acquires the lease if it has not changed since this VM last read it.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Lease.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Lease.java
@@ -7,7 +7,7 @@
  *
  * @param holder the name of the process that holds it, unique for each start
  * @param previous the identifier of the primary that is being replaced
- * @param revision the store's version of the lease, which is its fencing token
+ * @param revision the store's revision of the lease, which is its fencing token
  * @param seenMs when this VM first saw it at this version, in milliseconds
  */
 public record Lease(String holder, String previous, long revision, long seenMs) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/holder/HolderTargets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/holder/HolderTargets.java
@@ -44,6 +44,7 @@
     return new Target(
         holder.vm() + '/' + service,
         0,
+        0,
         service,
         holder.statements(),
         holder.failureDomain(),
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Target.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Target.java
@@ -8,6 +8,7 @@
  * @param id the identifier that the target must report on each connection
  * @param bornMs the start time of the target's process, in milliseconds since the epoch; the same
  *     identifier with another start time is a different incarnation
+ * @param sequence the number of the registration, which rises with each one that the process writes
  * @param service the service that the target belongs to
  * @param endpoint the address that the target listens on
  * @param failureDomain the failure domain of the target
@@ -19,6 +20,7 @@
 public record Target(
     String id,
     long bornMs,
+    long sequence,
     String service,
     Endpoint endpoint,
     String failureDomain,
@@ -43,4 +45,15 @@
   public boolean isSameIncarnation(Target other) {
     return id.equals(other.id) && bornMs == other.bornMs && endpoint.equals(other.endpoint);
   }
+
+  /**
+   * Returns whether the same process has written another registration after this one. The store
+   * returns an earlier registration after it was restored from a copy.
+   *
+   * @param other the other registration
+   * @return true if this registration is out of date
+   */
+  public boolean isSupersededBy(Target other) {
+    return isSameIncarnation(other) && sequence < other.sequence;
+  }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -34,6 +34,9 @@
    */
   public static final long DROP_AFTER_MS = 5_000;
 
+  /** How long the last registration of a dropped target is remembered, in milliseconds. */
+  private static final long REMEMBER_DROPPED_MS = 60_000;
+
   private static final EventLog LOG = EventLog.of(Targets.class);
 
   private final Scheduler scheduler;
@@ -42,6 +45,7 @@
   private Map<String, ServiceLimits> serviceLimits = Map.of();
   private int vmCount = 1;
   private final Map<String, TargetHandle> byId = new HashMap<>();
+  private final Map<String, Target> lastOfDropped = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
 
   /**
@@ -180,6 +184,18 @@
 
   private void addOrUpdate(Target target) {
     TargetHandle known = byId.get(target.id());
+    Target last = known == null ? lastOfDropped.get(target.id()) : known.target();
+    if (last != null && target.isSupersededBy(last)) {
+      LOG.warn(
+          "target_registration_outdated",
+          "target",
+          target.id(),
+          "sequence",
+          target.sequence(),
+          "known",
+          last.sequence());
+      return;
+    }
     if (known != null && known.target().isSameIncarnation(target)) {
       logChange(known.target(), target);
       known.update(target);
@@ -277,6 +293,9 @@
   private void retire(String id, String reason) {
     TargetHandle handle = byId.remove(id);
     handle.pool().retire();
+    Target last = handle.target();
+    lastOfDropped.put(id, last);
+    scheduler.schedule(REMEMBER_DROPPED_MS, () -> lastOfDropped.remove(id, last));
     LOG.info("target_lost", "target", id, "service", handle.target().service(), "reason", reason);
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -28,6 +28,7 @@
     Optional<Lease> lease = Optional.empty();
     boolean reachable = true;
     boolean leaseTaken;
+    long oldestCurrentToken;
     long nextToken = FIRST_TOKEN;
 
     /** Returns whether the VM under test has acquired the lease. */
@@ -62,6 +63,11 @@
       return lease;
     }
 
+    @Override
+    public boolean isCurrent(long token) {
+      return token >= oldestCurrentToken;
+    }
+
     @Override
     public void acquireLease(
         String service, String holder, String previous, Consumer<LeaseResult> done) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
@@ -64,6 +64,7 @@
             new Target(
                 "i-1",
                 2,
+                1,
                 TestTargets.SERVICE,
                 new Endpoint("10.0.0.1", 1),
                 "domain-i-1",
@@ -106,4 +107,47 @@
 
     assertEquals(Optional.of("i-2"), primary());
   }
+
+  /**
+   * Guards against new work for a leaving target after the store was restored from a copy. The copy
+   * holds the registration from before the target announced that it leaves.
+   */
+  @Test
+  void shouldKeepTargetLeavingWhenAnEarlierRegistrationReturns() {
+    Target ready = TestTargets.target("i-1", false, 1);
+    targets.update(List.of(ready));
+    targets.update(List.of(TestTargets.leaving(ready, 5)));
+
+    targets.update(List.of(ready));
+
+    assertTrue(targets.isLeaving(handle("i-1")));
+  }
+
+  /** Guards against the use of a target that has left and was dropped before the restore. */
+  @Test
+  void shouldNotAddDroppedTargetWhenAnEarlierRegistrationReturns() {
+    Target ready = TestTargets.target("i-1", false, 1);
+    targets.update(List.of(TestTargets.leaving(ready, 5)));
+    targets.update(List.of());
+    scheduler.advanceMs(Targets.DROP_AFTER_MS);
+    assertTrue(targets.find("i-1").isEmpty());
+
+    targets.update(List.of(ready));
+
+    assertTrue(targets.find("i-1").isEmpty());
+  }
+
+  /** Guards against losing the primary when the copy holds the registrations from before it led. */
+  @Test
+  void shouldKeepPrimaryWhenRegistrationsFromBeforeItsPromotionReturn() {
+    Target before = TestTargets.target("i-1", true, 1);
+    Target promoted = TestTargets.target("i-2", false, 2);
+    targets.update(List.of(before, promoted));
+    targets.update(
+        List.of(TestTargets.target("i-1", false, 3), TestTargets.target("i-2", true, 4)));
+
+    targets.update(List.of(before, promoted));
+
+    assertEquals(Optional.of("i-2"), primary());
+  }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/target/TestTargets.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/target/TestTargets.java
@@ -10,7 +10,16 @@
   /** Returns a target that is not leaving, in a failure domain named after it. */
   public static Target target(String id, boolean primary, long revision) {
     return new Target(
-        id, 1, SERVICE, new Endpoint("10.0.0.1", 1), "domain-" + id, 3, false, primary, revision);
+        id,
+        1,
+        revision,
+        SERVICE,
+        new Endpoint("10.0.0.1", 1),
+        "domain-" + id,
+        3,
+        false,
+        primary,
+        revision);
   }
 
   /** Returns a newer registration of the target that is marked as leaving. */
@@ -18,6 +27,7 @@
     return new Target(
         target.id(),
         target.bornMs(),
+        revision,
         target.service(),
         target.endpoint(),
         target.failureDomain(),
