--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
@@ -33,6 +33,7 @@
   }
 
   private final DispatchContext dispatch;
+  private final TargetSelector selector;
   private final StatementRequest statementRequest;
   private final TargetHandle target;
   private final Optional<LogPosition> floor;
@@ -44,12 +45,14 @@
 
   BeginAttempt(
       DispatchContext dispatch,
+      TargetSelector selector,
       StatementRequest statementRequest,
       TargetHandle target,
       Optional<LogPosition> floor,
       CallerStatement.Begin begin,
       Listener listener) {
     this.dispatch = dispatch;
+    this.selector = selector;
     this.statementRequest = statementRequest;
     this.target = target;
     this.floor = floor;
@@ -84,6 +87,11 @@
 
   private void onGranted(PooledLink granted) {
     request = null;
+    if (!selector.isUsable(target, floor, now())) {
+      granted.release();
+      notifyRefused(DispatchContext.primaryNotUsable(target.target()));
+      return;
+    }
     link = granted;
     sentMs = now();
     target.recordRequest(sentMs);
@@ -121,6 +129,11 @@
 
   private void onReply(PooledLink used, LinkReply reply) {
     target.recordAnswer(now());
+    if (reply.isDone() && !selector.isUsable(target, floor, now())) {
+      used.rollBackAndRelease();
+      notifyRefused(DispatchContext.primaryNotUsable(target.target()));
+      return;
+    }
     if (reply.isDone() && reply.state() == TransactionState.OPEN) {
       if (floor.isEmpty()) {
         dispatch.recordProvenPosition(target, reply, sentMs);
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
@@ -5,6 +5,7 @@
 import io.lycheejunction.gateway.holder.Role;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.schedule.Scheduler;
+import io.lycheejunction.gateway.target.Target;
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
 import java.util.Objects;
@@ -92,6 +93,32 @@
             });
   }
 
+  /**
+   * Returns the fault of a statement that was not sent, since this VM may not use the primary now.
+   *
+   * @param target the primary
+   * @return the fault
+   */
+  static Fault primaryNotUsable(Target target) {
+    return new Fault(
+        ResultCode.NO_PRIMARY,
+        "the lease on primary " + target.id() + " of " + target.service() + " is not held",
+        NO_PRIMARY_RETRY_MS);
+  }
+
+  /**
+   * Returns the fault of a write that was answered after the lease on the primary had expired. The
+   * primary may have been replaced before it ran the write.
+   *
+   * @param target the primary
+   * @return the fault
+   */
+  static Fault answeredTooLate(Target target) {
+    return Fault.of(
+        ResultCode.UNKNOWN_OUTCOME,
+        "the lease on primary " + target.id() + " expired before the answer arrived");
+  }
+
   /**
    * Returns the fault of a statement for which no primary is known.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/PrimaryGate.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/PrimaryGate.java
@@ -94,7 +94,36 @@
    * @param service the name of the service
    */
   public void onPromotionOrdered(String service) {
-    expectedAtMs.put(service, scheduler.nowMs() + promotionMs);
+    expectPromotion(service, 0);
+  }
+
+  /**
+   * Records that a promotion will be ordered.
+   *
+   * @param service the name of the service
+   * @param delayMs the time until then, in milliseconds
+   */
+  public void expectPromotion(String service, long delayMs) {
+    expectPrimary(service, delayMs + promotionMs);
+  }
+
+  /**
+   * Records that a service will probably have a primary soon, though no promotion was ordered.
+   *
+   * @param service the name of the service
+   * @param withinMs the expected time until then, in milliseconds
+   */
+  public void expectPrimary(String service, long withinMs) {
+    expectedAtMs.put(service, scheduler.nowMs() + withinMs);
+  }
+
+  /**
+   * Records that it is not known when a service will have a primary.
+   *
+   * @param service the name of the service
+   */
+  public void expectNoPrimary(String service) {
+    expectedAtMs.remove(service);
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -161,7 +161,8 @@
 
   private void startAttempt(TargetHandle target, Optional<LogPosition> floor) {
     tried.add(target.target().id());
-    StatementAttempt attempt = new StatementAttempt(dispatch, request, target, floor, this);
+    StatementAttempt attempt =
+        new StatementAttempt(dispatch, selector, request, target, floor, this);
     attempts.add(attempt);
     latestAttempt = attempt;
     stopOverdueTimer();
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
@@ -33,6 +33,7 @@
   }
 
   private final DispatchContext dispatch;
+  private final TargetSelector selector;
   private final StatementRequest statementRequest;
   private final TargetHandle target;
   private final Optional<LogPosition> floor;
@@ -46,11 +47,13 @@
 
   StatementAttempt(
       DispatchContext dispatch,
+      TargetSelector selector,
       StatementRequest statementRequest,
       TargetHandle target,
       Optional<LogPosition> floor,
       Listener listener) {
     this.dispatch = dispatch;
+    this.selector = selector;
     this.statementRequest = statementRequest;
     this.target = target;
     this.floor = floor;
@@ -77,7 +80,13 @@
     if (!statementRequest.writes() && floor.isEmpty()) {
       BeginAttempt attempt =
           new BeginAttempt(
-              dispatch, statementRequest, target, floor, new CallerStatement.Begin(false), this);
+              dispatch,
+              selector,
+              statementRequest,
+              target,
+              floor,
+              new CallerStatement.Begin(false),
+              this);
       beginAttempt = Optional.of(attempt);
       attempt.start(untilMs);
       return;
@@ -121,7 +130,7 @@
     request = null;
     beginAttempt = Optional.empty();
     ended = true;
-    if (dispatch.selector().isRetriedAfter(fault)) {
+    if (selector.isRetriedAfter(fault)) {
       target.recordFault(fault, now());
     }
     listener.refused(this, fault);
@@ -133,12 +142,25 @@
   }
 
   private void send(PooledLink used, boolean rollBack) {
+    if (!selector.isUsable(target, floor, now())) {
+      returnUnused(used, rollBack);
+      refused(DispatchContext.primaryNotUsable(target.target()));
+      return;
+    }
     link = used;
     sentMs = now();
     sent = true;
     statementRequest.send(used, floor, rollBack, result -> onResult(used, result));
   }
 
+  private static void returnUnused(PooledLink used, boolean inTransaction) {
+    if (inTransaction) {
+      used.rollBackAndRelease();
+    } else {
+      used.release();
+    }
+  }
+
   private void onResult(PooledLink used, LinkResult result) {
     if (link != used) {
       return;
@@ -165,6 +187,10 @@
       return;
     }
     target.recordStatement(now() - sentMs, StatementRequest.positionOf(reply), now());
+    if (statementRequest.writes() && !selector.isUsable(target, floor, now())) {
+      endFailed(DispatchContext.answeredTooLate(target.target()));
+      return;
+    }
     if (statementRequest.writes()) {
       dispatch.recordProvenPosition(target, reply, sentMs);
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.lease.PrimaryUse;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.target.TargetHandle;
@@ -36,6 +37,17 @@
   Optional<TargetHandle> choose(
       Route route, Optional<LogPosition> floor, Set<String> tried, long nowMs);
 
+  /**
+   * Returns whether a selected target may be used now. It may not if its floor is empty and this VM
+   * may not use the primary, or not any more.
+   *
+   * @param target the target
+   * @param floor the log position that it must have reached; empty if it is used as primary
+   * @param nowMs the present time, in milliseconds
+   * @return true if statements may be sent to it and its answers passed on
+   */
+  boolean isUsable(TargetHandle target, Optional<LogPosition> floor, long nowMs);
+
   /**
    * Returns the statement that begins a transaction.
    *
@@ -81,8 +93,13 @@
    * @param targets the targets
    * @param positions the proven positions
    * @param readSelector selects the targets of reads
+   * @param primaryUse whether this VM may use a primary
    */
-  record Direct(Targets targets, ServicePositions positions, LeastCostSelector readSelector)
+  record Direct(
+      Targets targets,
+      ServicePositions positions,
+      LeastCostSelector readSelector,
+      PrimaryUse primaryUse)
       implements TargetSelector {
     private static final int MAX_TRIES = 4;
 
@@ -100,9 +117,16 @@
       return targets
           .primaryOf(route.service())
           .filter(handle -> !handle.isGone(nowMs))
+          .filter(handle -> isUsable(handle, floor, nowMs))
           .filter(handle -> !tried.contains(handle.target().id()));
     }
 
+    @Override
+    public boolean isUsable(TargetHandle target, Optional<LogPosition> floor, long nowMs) {
+      return floor.isPresent()
+          || primaryUse.isAllowed(target.target().service(), target.target().id(), nowMs);
+    }
+
     @Override
     public CallerStatement.Begin begin(boolean readOnly, Optional<LogPosition> floor) {
       return new CallerStatement.Begin(floor.isPresent());
@@ -151,6 +175,12 @@
       return holderSelector.choose(route.service(), LogPosition.ORIGIN, tried, nowMs);
     }
 
+    /** The holder decides whether it may use the primary. */
+    @Override
+    public boolean isUsable(TargetHandle target, Optional<LogPosition> floor, long nowMs) {
+      return true;
+    }
+
     @Override
     public CallerStatement.Begin begin(boolean readOnly, Optional<LogPosition> floor) {
       return new CallerStatement.Begin(readOnly);
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -157,7 +157,8 @@
     target = chosen.get();
     CallerStatement.Begin begin = selector.begin(readOnly, floor);
     BeginAttempt attempt =
-        new BeginAttempt(dispatch, currentRun.request, target, floor, begin, new BeginListener());
+        new BeginAttempt(
+            dispatch, selector, currentRun.request, target, floor, begin, new BeginListener());
     beginAttempt = Optional.of(attempt);
     attempt.start(currentRun.startedMs + route.statementTimeoutMs());
   }
@@ -231,6 +232,14 @@
       fail(new Fault(ResultCode.ROLLED_BACK, "the connection of the transaction was closed", 0));
       return;
     }
+    if (!selector.isUsable(target, floor, now())) {
+      fail(
+          new Fault(
+              ResultCode.ROLLED_BACK,
+              DispatchContext.primaryNotUsable(target.target()).detail(),
+              DispatchContext.BUSY_RETRY_MS));
+      return;
+    }
     currentRun.sent = true;
     currentRun.sentMs = now();
     if (currentRun.request.writes()) {
@@ -262,7 +271,15 @@
   private void onReply(LinkReply reply) {
     StatementRun ended = currentRun;
     target.recordStatement(now() - ended.sentMs, StatementRequest.positionOf(reply), now());
-    if (isCommit(ended) && hasWritten && reply.isDone()) {
+    boolean committedWrites = isCommit(ended) && hasWritten && reply.isDone();
+    if (committedWrites && !selector.isUsable(target, floor, now())) {
+      PooledLink used = link;
+      link = null;
+      used.release();
+      fail(DispatchContext.answeredTooLate(target.target()));
+      return;
+    }
+    if (committedWrites) {
       dispatch.recordProvenPosition(target, reply, ended.sentMs);
     }
     failed = failed || reply.state() == TransactionState.FAILED;
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverContext.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.gateway.dispatch.PrimaryGate;
 import io.lycheejunction.gateway.dispatch.ServicePositions;
 import io.lycheejunction.gateway.holder.Role;
+import io.lycheejunction.gateway.lease.LeaseContext;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.Targets;
@@ -19,6 +20,7 @@
  * @param positions the log positions that primaries have confirmed
  * @param linkOpener decodes the status replies of targets
  * @param store the votes and leases in the platform's store
+ * @param leases the leases under which primaries are used
  * @param peers requests votes from other VMs directly
  * @param role whether this VM holds connections to targets; only such a VM watches primaries
  * @param orders sends promotion orders to the platform
@@ -33,6 +35,7 @@
     ServicePositions positions,
     TargetLinkOpener linkOpener,
     FailoverStore store,
+    LeaseContext leases,
     PeerVoteClient peers,
     Role role,
     PromotionOrders orders,
@@ -47,6 +50,7 @@
     Objects.requireNonNull(positions, "positions is null");
     Objects.requireNonNull(linkOpener, "linkOpener is null");
     Objects.requireNonNull(store, "store is null");
+    Objects.requireNonNull(leases, "leases is null");
     Objects.requireNonNull(peers, "peers is null");
     Objects.requireNonNull(role, "role is null");
     Objects.requireNonNull(orders, "orders is null");
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -2,6 +2,8 @@
 
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.lease.PrimaryLeases;
+import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.ArrayList;
@@ -9,6 +11,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 
 /**
  * Replaces the primary of one service: acquires the lease, selects the target that has received the
@@ -16,10 +19,13 @@
  *
  * <p>An order for a different target uses a new token, so that an earlier order that the platform
  * executes late is rejected. A primary that still answers is told to step down first, and the new
- * primary catches up with it before the promotion, so that no acknowledged commit is lost.
+ * primary catches up with it before the promotion, so that no acknowledged commit is lost. A
+ * primary that has not confirmed this may go on where primaries are used under leases; then the
+ * order waits until no VM holds a lease on it.
  */
 final class FailoverRun {
   private static final EventLog LOG = EventLog.of(FailoverRun.class);
+  private static final long NEVER = Long.MIN_VALUE;
   private static final long STATUS_TIMEOUT_MS = 200;
   private static final long STEP_DOWN_TIMEOUT_MS = 300;
   private static final long CATCH_UP_TIMEOUT_MS = 600;
@@ -29,15 +35,24 @@
   private static final int MAX_ORDERS = 5;
   private static final long PROMOTION_TIMEOUT_MS = 4_000;
 
+  /** The maximum age of the VMs' release of the primary when a promotion is ordered. */
+  private static final long MAX_RELEASE_AGE_MS = 1_500;
+
   private final FailoverContext failover;
   private final String service;
   private final String reason;
   private final Optional<TargetHandle> previousPrimary;
+  private final String previousId;
   private final boolean stepDownFirst;
+  private final Supplier<ReleaseReply> ownRelease;
   private final Set<String> rejectedTargetIds = new HashSet<>();
   private final List<Candidate> answeredCandidates = new ArrayList<>();
   private long token;
+  private long firstTokenMs = NEVER;
   private long tokenAcquiredMs;
+  private long releasedMs = NEVER;
+  private boolean steppedDown;
+  private boolean releaseDenied;
   private long startMs;
   private long lastOrderMs;
   private int orders;
@@ -49,12 +64,16 @@
       String service,
       String reason,
       Optional<TargetHandle> previousPrimary,
-      boolean stepDownFirst) {
+      String previousId,
+      boolean stepDownFirst,
+      Supplier<ReleaseReply> ownRelease) {
     this.failover = failover;
     this.service = service;
     this.reason = reason;
     this.previousPrimary = previousPrimary;
+    this.previousId = previousId;
     this.stepDownFirst = stepDownFirst;
+    this.ownRelease = ownRelease;
   }
 
   void start() {
@@ -66,6 +85,11 @@
     return ended;
   }
 
+  /** Returns whether the run has ended since too few VMs have released the primary. */
+  boolean isReleaseDenied() {
+    return releaseDenied;
+  }
+
   /** Ends the run because the service has a primary. */
   void complete(String primary) {
     if (!ended) {
@@ -82,12 +106,15 @@
         .acquireLease(
             service,
             failover.holder(),
-            previousPrimary.map(handle -> handle.target().id()).orElse(""),
+            previousId,
             claim -> {
               switch (claim) {
                 case FailoverStore.LeaseResult.Acquired acquired -> {
                   token = acquired.token();
                   tokenAcquiredMs = now();
+                  if (firstTokenMs == NEVER) {
+                    firstTokenMs = now();
+                  }
                   LOG.info(
                       "failover_lease_taken", "service", service, "token", token, "reason", reason);
                   next.run();
@@ -102,7 +129,53 @@
     if (stepDownFirst && previousPrimary.isPresent()) {
       stepDown(previousPrimary.get());
     } else {
-      selectCandidate();
+      releaseThen(this::selectCandidate);
+    }
+  }
+
+  /** Continues once no VM uses the previous primary any more. */
+  private void releaseThen(Runnable next) {
+    if (steppedDown || !failover.leases().use().needsLease()) {
+      next.run();
+      return;
+    }
+    ReleaseRound.start(
+        failover,
+        service,
+        previousId,
+        ownRelease.get(),
+        result -> {
+          switch (result) {
+            case ReleaseRound.Result.Denied denied -> {
+              releaseDenied = true;
+              end("primary not released by enough VMs");
+            }
+            case ReleaseRound.Result.Released released -> {
+              releasedMs = now();
+              long waitMs = Math.max(0, unusedFromMs(released) - now());
+              failover.gate().expectPromotion(service, waitMs);
+              failover.scheduler().schedule(waitMs, () -> continueRun(next));
+            }
+          }
+        });
+  }
+
+  /**
+   * Returns when the primary is unused. A VM that has not released it may rely on a read of the
+   * store from before this process acquired the failover lease, for the duration of its lease.
+   */
+  private long unusedFromMs(ReleaseRound.Result.Released released) {
+    if (released.byAll()) {
+      return released.unusedFromMs();
+    }
+    long storeReadsExpiredMs =
+        firstTokenMs + PrimaryLeases.DURATION_MS + ReleaseRound.CLOCK_MARGIN_MS;
+    return Math.max(released.unusedFromMs(), storeReadsExpiredMs);
+  }
+
+  private void continueRun(Runnable next) {
+    if (!ended) {
+      next.run();
     }
   }
 
@@ -115,6 +188,7 @@
         STEP_DOWN_TIMEOUT_MS,
         answers -> {
           answers.forEach(answer -> requiredPosition = requiredPosition.max(answer.received()));
+          steppedDown = answers.stream().anyMatch(answer -> !answer.primary());
           LOG.info(
               "primary_stepped_down",
               "service",
@@ -125,7 +199,7 @@
               !answers.isEmpty(),
               "position",
               requiredPosition);
-          selectCandidate();
+          releaseThen(this::selectCandidate);
         });
   }
 
@@ -229,6 +303,10 @@
     if (ended) {
       return;
     }
+    if (releasedMs != NEVER && now() - releasedMs > MAX_RELEASE_AGE_MS) {
+      releaseThen(() -> orderPromotion(chosen));
+      return;
+    }
     if (!failover.store().isCurrent(token)) {
       end("the store was restored after the lease was acquired");
       return;
@@ -287,15 +365,7 @@
       end("too many promotion orders");
       return;
     }
-    failover
-        .scheduler()
-        .schedule(
-            ORDER_RETRY_DELAY_MS,
-            () -> {
-              if (!ended) {
-                next.run();
-              }
-            });
+    failover.scheduler().schedule(ORDER_RETRY_DELAY_MS, () -> continueRun(next));
   }
 
   /** Resumes replication on the replicas that were told to stop it. */
@@ -317,6 +387,9 @@
       if (isSynchronous()) {
         resumeReplication();
       }
+      if (releaseDenied) {
+        withdrawReplacement();
+      }
       LOG.info(
           "failover_ended",
           "service",
@@ -330,6 +403,17 @@
     }
   }
 
+  /** Tells the other VMs through the lease that the primary is not being replaced any more. */
+  private void withdrawReplacement() {
+    failover
+        .store()
+        .acquireLease(
+            service,
+            failover.holder(),
+            "",
+            result -> LOG.info("failover_withdrawn", "service", service, "result", result));
+  }
+
   private long now() {
     return failover.scheduler().nowMs();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverStore.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverStore.java
@@ -79,7 +79,7 @@
    * @param service the service
    * @param holder the name of this process
    * @param previous the identifier of the primary that is to be replaced, or an empty text if none
-   *     is known
+   *     is known or it is not replaced any more
    * @param done is called once with the result
    */
   void acquireLease(String service, String holder, String previous, Consumer<LeaseResult> done);
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailureQuorum.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailureQuorum.java
@@ -1,7 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.core.failover.PreVote;
-import java.util.HashMap;
+import io.lycheejunction.gateway.lease.DomainQuorum;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -32,15 +32,14 @@
    */
   public static PreVote.Outcome decide(
       Map<String, String> vms, String primary, List<Vote> votes, boolean registered) {
-    Map<String, Integer> balanceByDomain = new HashMap<>();
-    Set<String> notVoted = new HashSet<>(vms.keySet());
+    Set<String> reportingGone = new HashSet<>();
     int total = 0;
     for (Vote vote : votes) {
       if (vote.primary().equals(primary)) {
-        int weight = vote.gone() ? 1 : -1;
-        balanceByDomain.merge(vote.failureDomain(), weight, Integer::sum);
-        total += weight;
-        notVoted.remove(vote.vm());
+        total += vote.gone() ? 1 : -1;
+        if (vote.gone()) {
+          reportingGone.add(vote.vm());
+        }
       }
     }
     if (total <= 0) {
@@ -49,16 +48,6 @@
     if (!registered) {
       return PreVote.Outcome.GRANTED;
     }
-    notVoted.forEach(vm -> balanceByDomain.merge(vms.get(vm), -1, Integer::sum));
-    return outcomeOfDomains(Set.copyOf(vms.values()), balanceByDomain);
-  }
-
-  private static PreVote.Outcome outcomeOfDomains(
-      Set<String> domains, Map<String, Integer> balanceByDomain) {
-    PreVote preVote = new PreVote(domains, Map.of());
-    for (Map.Entry<String, Integer> domain : balanceByDomain.entrySet()) {
-      preVote = preVote.cast(domain.getKey(), domain.getValue() > 0);
-    }
-    return preVote.outcome();
+    return DomainQuorum.outcome(vms, reportingGone);
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PeerVoteClient.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PeerVoteClient.java
@@ -1,27 +1,11 @@
 package io.lycheejunction.gateway.failover;
 
+import io.lycheejunction.gateway.peer.PeerAnswer;
 import java.util.function.Consumer;
 
 /** Requests votes from other VMs directly, without the platform's store. */
 public interface PeerVoteClient {
 
-  /** The result of a request. */
-  sealed interface Answer {
-
-    /**
-     * The VM returned its vote.
-     *
-     * @param vote its vote, which may be about another primary
-     */
-    record Voted(Vote vote) implements Answer {}
-
-    /** The VM is up, but no gateway process listens on it. */
-    record Absent() implements Answer {}
-
-    /** The VM did not answer in time, or has no vote yet. */
-    record Silent() implements Answer {}
-  }
-
   /**
    * Requests a VM's vote on whether a primary is gone.
    *
@@ -30,5 +14,5 @@
    * @param primary the identifier of the primary
    * @param done is called once with the result
    */
-  void requestVote(String vm, String service, String primary, Consumer<Answer> done);
+  void requestVote(String vm, String service, String primary, Consumer<PeerAnswer<Vote>> done);
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PeerVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PeerVotes.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.gateway.peer.PeerAnswer;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -26,9 +27,9 @@
 
   private static final EventLog LOG = EventLog.of(PeerVotes.class);
 
-  private record Reply(long requestedMs, long receivedMs, PeerVoteClient.Answer answer) {
+  private record Reply(long requestedMs, long receivedMs, PeerAnswer<Vote> answer) {
     private boolean isValid(long nowMs) {
-      return answer instanceof PeerVoteClient.Answer.Silent || nowMs - receivedMs <= VOTE_VALID_MS;
+      return answer instanceof PeerAnswer.Silent<Vote> || nowMs - receivedMs <= VOTE_VALID_MS;
     }
   }
 
@@ -72,7 +73,7 @@
         .filter(entry -> entry.isValid(now()))
         .map(
             entry ->
-                entry.answer() instanceof PeerVoteClient.Answer.Voted voted ? voted.vote() : null)
+                entry.answer() instanceof PeerAnswer.Replied<Vote> replied ? replied.value() : null)
         .filter(Objects::nonNull)
         .toList();
   }
@@ -82,7 +83,7 @@
     Set<String> vms = new HashSet<>();
     replies.forEach(
         (vm, entry) -> {
-          if (entry.isValid(now()) && entry.answer() instanceof PeerVoteClient.Answer.Absent) {
+          if (entry.isValid(now()) && entry.answer() instanceof PeerAnswer.Absent<Vote>) {
             vms.add(vm);
           }
         });
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryProbe.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryProbe.java
@@ -106,7 +106,8 @@
         handle.recordAnswer(now());
         link.release();
         reply.fault().ifPresent(fault -> handle.recordFault(fault, now()));
-        if (reply.isDone() && reply.state() == TransactionState.OPEN) {
+        boolean usable = failover.leases().use().isAllowed(service, handle.target().id(), now());
+        if (usable && reply.isDone() && reply.state() == TransactionState.OPEN) {
           reply
               .position()
               .ifPresent(position -> failover.positions().of(service).record(sentMs, position));
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -1,12 +1,18 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.gateway.lease.KnownPrimary;
+import io.lycheejunction.gateway.lease.LeaseRenewal;
+import io.lycheejunction.gateway.lease.LeaseReply;
+import io.lycheejunction.gateway.lease.ReleaseReply;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
 /** Detects failed or leaving primaries of all services and starts their replacement. */
-public final class PrimaryWatch {
+public final class PrimaryWatch implements LeaseRenewal.Primaries {
   private static final long CHECK_INTERVAL_MS = 200;
   private static final long URGENT_CHECK_INTERVAL_MS = 40;
   private static final long ISOLATION_DELAY_MS = 400;
@@ -71,6 +77,53 @@
     return Optional.ofNullable(watches.get(service)).flatMap(watch -> watch.currentVote(primary));
   }
 
+  @Override
+  public List<KnownPrimary> known() {
+    List<KnownPrimary> known = new ArrayList<>();
+    watches.values().forEach(watch -> watch.knownPrimary().ifPresent(known::add));
+    return known;
+  }
+
+  @Override
+  public void onReported(KnownPrimary reported) {
+    Optional.ofNullable(watches.get(reported.service()))
+        .ifPresent(watch -> watch.onReported(reported));
+  }
+
+  @Override
+  public void onRenewed() {
+    checkPrimaries();
+  }
+
+  /**
+   * Grants another VM the leases on all primaries that this VM knows and has no reason to replace.
+   *
+   * @param vm the name of the other VM
+   * @return the primaries that this VM knows
+   */
+  public LeaseReply grantLeases(String vm) {
+    long nowMs = failover.scheduler().nowMs();
+    List<KnownPrimary> known = known();
+    for (KnownPrimary primary : known) {
+      if (primary.granted()) {
+        failover.leases().grants().grant(vm, primary.service(), nowMs);
+      }
+    }
+    return new LeaseReply(known);
+  }
+
+  /**
+   * Stops using a primary that another VM is about to replace, unless this VM reaches it.
+   *
+   * @param service the service
+   * @param primary the identifier of the primary, or an empty text if the other VM knows none
+   * @return whether the primary is released, and the leases on it that are still valid
+   */
+  public ReleaseReply release(String service, String primary) {
+    ServiceWatch watch = watches.get(service);
+    return watch == null ? ReleaseReply.refused(failover.vm()) : watch.release(primary);
+  }
+
   private long unreachablePrimaries() {
     return watches.values().stream().filter(watch -> !watch.reachesPrimary()).count();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -4,6 +4,9 @@
 import io.lycheejunction.core.failover.PreVote;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.lease.KnownPrimary;
+import io.lycheejunction.gateway.lease.LeaseContext;
+import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.Comparator;
@@ -34,6 +37,15 @@
   private static final long MAX_ANSWER_AGE_MS = 250;
   private static final long STATUS_TIMEOUT_MS = 250;
 
+  /** How long after a denied release of the primary its replacement is tried again. */
+  private static final long RELEASE_RETRY_DELAY_MS = 400;
+
+  /** How long statements may wait for the lease on a primary that was just found. */
+  private static final long FIRST_LEASE_MS = 400;
+
+  /** The expected time until the lease on a primary that was just found, in milliseconds. */
+  private static final long EXPECTED_LEASE_MS = 100;
+
   private final FailoverContext failover;
   private final String service;
   private final long jitterMs;
@@ -44,9 +56,12 @@
   private long lastVoteMs;
   private long lastStatusMs = Long.MIN_VALUE / 2;
   private boolean statusInFlight;
+  private long primaryFoundMs;
+  private boolean awaitingFirstLease;
   private long earliestStartMs = Long.MIN_VALUE;
   private long goneSinceMs = NOT_GONE;
   private FailoverRun run;
+  private long lastRunMs;
 
   ServiceWatch(FailoverContext failover, String service) {
     this.failover = failover;
@@ -108,17 +123,78 @@
     return Optional.empty();
   }
 
+  /** Returns the primary that this VM knows, and whether it grants the lease on it. */
+  Optional<KnownPrimary> knownPrimary() {
+    return failover
+        .targets()
+        .primaryOf(service)
+        .map(
+            handle ->
+                new KnownPrimary(
+                    service, handle.target().id(), handle.provenTerm(), isLeaseGranted(handle)));
+  }
+
+  /** Uses a primary that another VM has proven to lead a newer term than this VM knows. */
+  void onReported(KnownPrimary reported) {
+    long newestTerm = failover.positions().of(service).newestTerm();
+    for (TargetHandle handle : failover.targets().of(service)) {
+      newestTerm = Math.max(newestTerm, handle.provenTerm());
+    }
+    if (reported.term() > newestTerm) {
+      failover
+          .targets()
+          .find(reported.primary())
+          .ifPresent(handle -> handle.recordPrimary(reported.term()));
+    }
+  }
+
+  /**
+   * Stops using a primary that another VM is about to replace, unless this VM reaches it.
+   *
+   * @param primary the identifier of the primary, or an empty text if the other VM knows none
+   */
+  ReleaseReply release(String primary) {
+    Optional<TargetHandle> known = failover.targets().primaryOf(service);
+    if (known.isPresent() && !known.get().isGone(now())) {
+      if (now() - known.get().lastAnswerMs() > MAX_ANSWER_AGE_MS) {
+        probe.probe(known.get());
+      }
+      return ReleaseReply.refused(failover.vm());
+    }
+    LeaseContext leases = failover.leases();
+    if (!leases.grants().isComplete(now())) {
+      return ReleaseReply.refused(failover.vm());
+    }
+    leases.release(service, primary, now());
+    return new ReleaseReply(failover.vm(), true, leases.grants().remainingMs(service, now()));
+  }
+
+  private boolean isLeaseGranted(TargetHandle handle) {
+    String id = handle.target().id();
+    boolean beingReplaced =
+        failover
+            .store()
+            .lease(service)
+            .filter(lease -> lease.isHeld(now()) && lease.previous().equals(id))
+            .isPresent();
+    return !handle.isGone(now())
+        && !lastVote.equals(Optional.of(true))
+        && !beingReplaced
+        && !failover.leases().grants().isReleased(service, id, now());
+  }
+
+  private boolean isUsable(TargetHandle handle) {
+    return !handle.isGone(now())
+        && failover.leases().use().isAllowed(service, handle.target().id(), now());
+  }
+
   private Vote ownVote(String primary, boolean gone) {
     return new Vote(failover.vm(), failover.failureDomain(), primary, gone);
   }
 
-  /** Returns whether the primary is known and not gone. */
+  /** Returns whether the primary is known and this VM may use it. */
   boolean reachesPrimary() {
-    return failover
-        .targets()
-        .primaryOf(service)
-        .filter(handle -> !handle.isGone(now()))
-        .isPresent();
+    return failover.targets().primaryOf(service).filter(this::isUsable).isPresent();
   }
 
   private void updatePrimary(Optional<TargetHandle> primary) {
@@ -128,12 +204,27 @@
       lastPrimary = id;
       lastVote = Optional.empty();
       earliestStartMs = Long.MIN_VALUE;
+      primaryFoundMs = now();
+      awaitingFirstLease = true;
       if (run != null) {
         run.complete(id.get());
       }
     }
-    if (primary.isPresent() && !primary.get().isGone(now())) {
+    if (primary.filter(this::isUsable).isPresent()) {
+      awaitingFirstLease = false;
       failover.gate().releaseWaiting(service);
+    } else if (awaitingFirstLease && primary.isPresent()) {
+      awaitFirstLease();
+    }
+  }
+
+  /** Lets statements wait for a short time for the lease on a primary that was just found. */
+  private void awaitFirstLease() {
+    if (now() - primaryFoundMs < FIRST_LEASE_MS) {
+      failover.gate().expectPrimary(service, EXPECTED_LEASE_MS);
+    } else {
+      awaitingFirstLease = false;
+      failover.gate().expectNoPrimary(service);
     }
   }
 
@@ -245,7 +336,21 @@
     if (now() < earliestStartMs || heldByOther || run != null && !run.isEnded()) {
       return;
     }
-    run = new FailoverRun(failover, service, reason, previousPrimary, stepDownFirst);
+    if (run != null && run.isReleaseDenied() && now() - lastRunMs < RELEASE_RETRY_DELAY_MS) {
+      return;
+    }
+    String previous =
+        previousPrimary.map(handle -> handle.target().id()).or(() -> lastPrimary).orElse("");
+    lastRunMs = now();
+    run =
+        new FailoverRun(
+            failover,
+            service,
+            reason,
+            previousPrimary,
+            previous,
+            stepDownFirst,
+            () -> release(previous));
     run.start();
   }
 
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
@@ -0,0 +1,102 @@
+package io.lycheejunction.gateway.lease;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * The leases that this VM has granted to others, and the primaries that it has released.
+ *
+ * <p>Nothing is kept beyond the process. A VM that has just started may have granted leases before,
+ * so it releases nothing until those have expired.
+ */
+public final class LeaseGrants {
+  /** How long a released primary is not used and no lease on it is granted, in milliseconds. */
+  public static final long RELEASE_VALID_MS = 3_000;
+
+  private record Release(String primary, long untilMs) {
+    private boolean covers(String other, long nowMs) {
+      return nowMs < untilMs && primary.equals(other);
+    }
+  }
+
+  private final long startedMs;
+  private final Map<String, Map<String, Long>> grantedUntilMs = new HashMap<>();
+  private final Map<String, Release> releases = new HashMap<>();
+
+  /**
+   * Creates the state of a process that has just started.
+   *
+   * @param startedMs the present time, in milliseconds
+   */
+  public LeaseGrants(long startedMs) {
+    this.startedMs = startedMs;
+  }
+
+  /**
+   * Records that this VM grants the lease on a service's primary.
+   *
+   * @param vm the VM that it is granted to
+   * @param service the service
+   * @param nowMs the present time, in milliseconds
+   */
+  public void grant(String vm, String service, long nowMs) {
+    Objects.requireNonNull(vm, "vm is null");
+    grantedUntilMs
+        .computeIfAbsent(service, name -> new HashMap<>())
+        .put(vm, nowMs + PrimaryLeases.DURATION_MS);
+  }
+
+  /**
+   * Returns whether this VM remembers all leases that it has granted.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @return false for the duration of a lease after the start
+   */
+  public boolean isComplete(long nowMs) {
+    return nowMs - startedMs >= PrimaryLeases.DURATION_MS;
+  }
+
+  /**
+   * Releases a primary: no lease on it is granted for {@link #RELEASE_VALID_MS}.
+   *
+   * @param service the service
+   * @param primary the identifier of the primary, or an empty text if none is known
+   * @param nowMs the present time, in milliseconds
+   */
+  public void release(String service, String primary, long nowMs) {
+    releases.put(service, new Release(primary, nowMs + RELEASE_VALID_MS));
+  }
+
+  /**
+   * Returns whether a primary has been released recently.
+   *
+   * @param service the service
+   * @param primary the identifier of the primary
+   * @param nowMs the present time, in milliseconds
+   * @return true if no lease on it may be granted
+   */
+  public boolean isReleased(String service, String primary, long nowMs) {
+    Release release = releases.get(service);
+    return release != null && release.covers(primary, nowMs);
+  }
+
+  /**
+   * Returns the leases on a service's primary that have not expired.
+   *
+   * @param service the service
+   * @param nowMs the present time, in milliseconds
+   * @return how long each is still valid, in milliseconds, keyed by the VM that it was granted to
+   */
+  public Map<String, Long> remainingMs(String service, long nowMs) {
+    Map<String, Long> granted = grantedUntilMs.getOrDefault(service, Map.of());
+    Map<String, Long> remaining = new HashMap<>();
+    granted.forEach(
+        (vm, untilMs) -> {
+          if (untilMs > nowMs) {
+            remaining.put(vm, untilMs - nowMs);
+          }
+        });
+    return remaining;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -0,0 +1,207 @@
+package io.lycheejunction.gateway.lease;
+
+import io.lycheejunction.gateway.peer.PeerAnswer;
+import io.lycheejunction.gateway.schedule.Scheduler;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Supplier;
+
+/**
+ * Renews this VM's leases on all primaries by regular requests to the other holders, and by reads
+ * of the store while those do not suffice.
+ */
+public final class LeaseRenewal {
+  /** The interval between two requests to a VM, in milliseconds. */
+  static final long INTERVAL_MS = 300;
+
+  /** The interval while too few VMs grant a lease, in milliseconds. */
+  static final long URGENT_INTERVAL_MS = 60;
+
+  /** How long too few VMs grant a lease before the store is read, in milliseconds. */
+  static final long READ_STORE_AFTER_MS = 400;
+
+  /** The interval between two reads of the store, in milliseconds. */
+  static final long READ_STORE_INTERVAL_MS = 400;
+
+  /**
+   * How long this VM has to be a holder before it relies on the store, in milliseconds. By then all
+   * other holders have read that it is one, so that they wait for its leases.
+   */
+  static final long KNOWN_TO_ALL_AFTER_MS = 10_000;
+
+  private static final long GRANTED = Long.MAX_VALUE;
+
+  /** The primaries that this VM knows, and what it does when it learns more. */
+  public interface Primaries {
+
+    /**
+     * Returns the primaries that this VM knows.
+     *
+     * @return the primaries, with the leases that this VM grants itself
+     */
+    List<KnownPrimary> known();
+
+    /**
+     * Called for each primary that another VM knows.
+     *
+     * @param reported the primary
+     */
+    void onReported(KnownPrimary reported);
+
+    /** Called after a lease may have been acquired that was not held before. */
+    void onRenewed();
+  }
+
+  private final String vm;
+  private final Supplier<Map<String, String>> vms;
+  private final Scheduler scheduler;
+  private final LeaseClient client;
+  private final ReplacedPrimaries replaced;
+  private final PrimaryLeases leases;
+  private final Primaries primaries;
+  private final Set<String> inFlight = new HashSet<>();
+  private final long knownToAllFromMs;
+  private long ungrantedSinceMs = GRANTED;
+  private long lastStoreReadMs = Long.MIN_VALUE / 2;
+  private boolean readingStore;
+
+  /**
+   * Creates a renewal that is idle until {@link #start}.
+   *
+   * @param vm the name of this VM
+   * @param vms returns the failure domain of each holder including this VM, keyed by VM name
+   * @param scheduler the clock and the timers
+   * @param client sends the requests
+   * @param replaced reads the store
+   * @param leases the leases to renew
+   * @param primaries the primaries that this VM knows
+   */
+  public LeaseRenewal(
+      String vm,
+      Supplier<Map<String, String>> vms,
+      Scheduler scheduler,
+      LeaseClient client,
+      ReplacedPrimaries replaced,
+      PrimaryLeases leases,
+      Primaries primaries) {
+    this.vm = Objects.requireNonNull(vm, "vm is null");
+    this.vms = Objects.requireNonNull(vms, "vms is null");
+    this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
+    this.client = Objects.requireNonNull(client, "client is null");
+    this.replaced = Objects.requireNonNull(replaced, "replaced is null");
+    this.leases = Objects.requireNonNull(leases, "leases is null");
+    this.primaries = Objects.requireNonNull(primaries, "primaries is null");
+    this.knownToAllFromMs = scheduler.nowMs() + KNOWN_TO_ALL_AFTER_MS;
+  }
+
+  /** Renews the leases now and then at regular intervals. */
+  public void start() {
+    renew();
+    boolean granted = isGrantedByVms();
+    if (granted) {
+      ungrantedSinceMs = GRANTED;
+    } else {
+      readStoreIfDue();
+    }
+    scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::start);
+  }
+
+  private void readStoreIfDue() {
+    long nowMs = scheduler.nowMs();
+    ungrantedSinceMs = Math.min(ungrantedSinceMs, nowMs);
+    boolean due =
+        nowMs >= knownToAllFromMs
+            && nowMs - ungrantedSinceMs >= READ_STORE_AFTER_MS
+            && nowMs - lastStoreReadMs >= READ_STORE_INTERVAL_MS;
+    if (due && !readingStore) {
+      readingStore = true;
+      lastStoreReadMs = nowMs;
+      replaced.read(answer -> onStoreRead(nowMs, answer));
+    }
+  }
+
+  private void onStoreRead(long requestedMs, Optional<Map<String, String>> answer) {
+    readingStore = false;
+    answer.ifPresent(
+        replacedByService -> {
+          confirmNotReplaced(requestedMs, replacedByService);
+          primaries.onRenewed();
+        });
+  }
+
+  private void confirmNotReplaced(long requestedMs, Map<String, String> replacedByService) {
+    for (KnownPrimary own : primaries.known()) {
+      String replacedPrimary = replacedByService.get(own.service());
+      boolean mayBeReplaced =
+          replacedPrimary != null
+              && (replacedPrimary.isEmpty() || replacedPrimary.equals(own.primary()));
+      if (own.granted() && !mayBeReplaced) {
+        leases.recordNotReplaced(own.service(), own.primary(), requestedMs);
+      }
+    }
+  }
+
+  /** Renews the leases now, except with VMs whose answers are pending. */
+  public void renew() {
+    grantToSelf();
+    for (String peer : vms.get().keySet()) {
+      if (!peer.equals(vm) && inFlight.add(peer)) {
+        long requestedMs = scheduler.nowMs();
+        client.renew(peer, answer -> onAnswer(peer, requestedMs, answer));
+      }
+    }
+  }
+
+  private void grantToSelf() {
+    long nowMs = scheduler.nowMs();
+    for (KnownPrimary own : primaries.known()) {
+      if (own.granted()) {
+        leases.recordGrant(vm, own.service(), own.primary(), nowMs);
+      } else {
+        leases.drop(own.service());
+      }
+    }
+  }
+
+  private void onAnswer(String peer, long requestedMs, PeerAnswer<LeaseReply> answer) {
+    inFlight.remove(peer);
+    if (answer instanceof PeerAnswer.Replied<LeaseReply> replied) {
+      LeaseReply reply = replied.value();
+      reply.primaries().forEach(primaries::onReported);
+      boolean grantedBefore = isGrantedByVms();
+      recordGrants(peer, requestedMs, reply);
+      if (!grantedBefore) {
+        primaries.onRenewed();
+      }
+    }
+  }
+
+  /** Records the grants on primaries that this VM knows too and has not released. */
+  private void recordGrants(String peer, long requestedMs, LeaseReply reply) {
+    List<KnownPrimary> known = primaries.known();
+    for (KnownPrimary reported : reply.primaries()) {
+      boolean wanted = known.stream().anyMatch(own -> isGrantOn(own, reported));
+      if (wanted) {
+        leases.recordGrant(peer, reported.service(), reported.primary(), requestedMs);
+      }
+    }
+  }
+
+  private static boolean isGrantOn(KnownPrimary own, KnownPrimary reported) {
+    return reported.granted()
+        && own.granted()
+        && own.service().equals(reported.service())
+        && own.primary().equals(reported.primary());
+  }
+
+  private boolean isGrantedByVms() {
+    long nowMs = scheduler.nowMs();
+    return primaries.known().stream()
+        .filter(KnownPrimary::granted)
+        .allMatch(own -> leases.isGrantedByVms(own.service(), own.primary(), nowMs));
+  }
+}
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -234,7 +234,7 @@
    *
    * @return the term, or 0 if there is none
    */
-  long provenTerm() {
+  public long provenTerm() {
     return provenTerm;
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -5,6 +5,7 @@
 import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.holder.Role;
+import io.lycheejunction.gateway.lease.PrimaryUse;
 import io.lycheejunction.gateway.link.FakeLinks;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.metrics.GatewayMetrics;
@@ -65,22 +66,28 @@
   public final ServicePositions positions = new ServicePositions();
   public final PrimaryGate gate = new PrimaryGate(scheduler);
   public final OverdueNotifier overdueNotifier = new OverdueNotifier();
-  public final DispatchContext dispatch =
-      new DispatchContext(
-          scheduler,
-          targets,
-          positions,
-          new TargetSelector.Direct(
-              targets, positions, new LeastCostSelector(targets, "domain-i-2")),
-          new TargetSelector.Forwarding(holders, new LeastCostSelector(holders, "domain-i-2")),
-          role,
-          gate,
-          new Hedging(),
-          overdueNotifier,
-          new StatementLog(scheduler, new GatewayMetrics()));
+  public final DispatchContext dispatch;
 
-  /** Registers the three targets. */
+  /** Registers the three targets, whose primaries need no lease. */
   public DispatchFixture() {
+    this(new PrimaryUse.Unrestricted());
+  }
+
+  /** Registers the three targets. */
+  public DispatchFixture(PrimaryUse primaryUse) {
+    this.dispatch =
+        new DispatchContext(
+            scheduler,
+            targets,
+            positions,
+            new TargetSelector.Direct(
+                targets, positions, new LeastCostSelector(targets, "domain-i-2"), primaryUse),
+            new TargetSelector.Forwarding(holders, new LeastCostSelector(holders, "domain-i-2")),
+            role,
+            gate,
+            new Hedging(),
+            overdueNotifier,
+            new StatementLog(scheduler, new GatewayMetrics()));
     targets.update(
         List.of(
             TestTargets.target("i-1", true, 1),
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -1,9 +1,16 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
+import io.lycheejunction.gateway.lease.LeaseClient;
+import io.lycheejunction.gateway.lease.LeaseContext;
+import io.lycheejunction.gateway.lease.LeaseGrants;
+import io.lycheejunction.gateway.lease.LeaseReply;
+import io.lycheejunction.gateway.lease.PrimaryUse;
+import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.peer.PeerAnswer;
 import io.lycheejunction.gateway.target.Target;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
@@ -78,33 +85,68 @@
     }
   }
 
-  final DispatchFixture group = new DispatchFixture();
+  /** Requests for leases and releases that the test answers. */
+  static final class FakeLeaseClient implements LeaseClient {
+    final Map<String, ReleaseReply> releases = new HashMap<>();
+    final List<String> askedToRelease = new ArrayList<>();
+
+    @Override
+    public void renew(String vm, Consumer<PeerAnswer<LeaseReply>> done) {
+      done.accept(new PeerAnswer.Silent<>());
+    }
+
+    @Override
+    public void release(
+        String vm, String service, String primary, Consumer<PeerAnswer<ReleaseReply>> done) {
+      askedToRelease.add(vm);
+      ReleaseReply reply = releases.get(vm);
+      done.accept(reply == null ? new PeerAnswer.Silent<>() : new PeerAnswer.Replied<>(reply));
+    }
+  }
+
+  final DispatchFixture group;
   final FakeStore store = new FakeStore();
+  final FakeLeaseClient leaseClient = new FakeLeaseClient();
+  final LeaseGrants grants;
   final List<Order> orders = new ArrayList<>();
   final List<String> askedVms = new ArrayList<>();
-  final Map<String, PeerVoteClient.Answer> answers = new HashMap<>();
-  final FailoverContext failover =
-      new FailoverContext(
-          "vm-b",
-          "vm-b-1",
-          "domain-i-2",
-          group.scheduler,
-          group.targets,
-          group.positions,
-          group.links,
-          store,
-          this::requestVote,
-          group.role,
-          this::promote,
-          group.gate);
-  final PrimaryWatch watch = new PrimaryWatch(failover);
+  final Map<String, PeerAnswer<Vote>> answers = new HashMap<>();
+  final FailoverContext failover;
+  final PrimaryWatch watch;
   boolean withholdAnswers;
 
+  /** Creates a group whose replaced primary refuses all work. */
+  FailoverFixture() {
+    this(new PrimaryUse.Unrestricted());
+  }
+
+  /** Creates a group. */
+  FailoverFixture(PrimaryUse use) {
+    group = new DispatchFixture(use);
+    grants = new LeaseGrants(group.scheduler.nowMs());
+    failover =
+        new FailoverContext(
+            "vm-b",
+            "vm-b-1",
+            "domain-i-2",
+            group.scheduler,
+            group.targets,
+            group.positions,
+            group.links,
+            store,
+            new LeaseContext(use, grants, leaseClient),
+            this::requestVote,
+            group.role,
+            this::promote,
+            group.gate);
+    watch = new PrimaryWatch(failover);
+  }
+
   private void requestVote(
-      String vm, String service, String primary, Consumer<PeerVoteClient.Answer> done) {
+      String vm, String service, String primary, Consumer<PeerAnswer<Vote>> done) {
     askedVms.add(vm);
     if (!withholdAnswers) {
-      done.accept(answers.getOrDefault(vm, new PeerVoteClient.Answer.Silent()));
+      done.accept(answers.getOrDefault(vm, new PeerAnswer.Silent<>()));
     }
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PeerVotesTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PeerVotesTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.lycheejunction.gateway.peer.PeerAnswer;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -18,7 +19,7 @@
 
   @Test
   void shouldReturnTheVoteWhenVmAnswers() {
-    fixture.answers.put("vm-a", new PeerVoteClient.Answer.Voted(REACHED));
+    fixture.answers.put("vm-a", new PeerAnswer.Replied<>(REACHED));
 
     votes.ask("i-1", Set.of("vm-a"));
 
@@ -28,7 +29,7 @@
 
   @Test
   void shouldReturnNoVoteWhenTheAnswerHasExpired() {
-    fixture.answers.put("vm-a", new PeerVoteClient.Answer.Voted(REACHED));
+    fixture.answers.put("vm-a", new PeerAnswer.Replied<>(REACHED));
     votes.ask("i-1", Set.of("vm-a"));
 
     fixture.group.scheduler.advanceMs(PeerVotes.VOTE_VALID_MS + 1);
@@ -38,7 +39,7 @@
 
   @Test
   void shouldForgetAnswersWhenAskedAboutAnotherPrimary() {
-    fixture.answers.put("vm-a", new PeerVoteClient.Answer.Voted(REACHED));
+    fixture.answers.put("vm-a", new PeerAnswer.Replied<>(REACHED));
     votes.ask("i-1", Set.of("vm-a"));
 
     votes.ask("i-2", Set.of());
@@ -48,7 +49,7 @@
 
   @Test
   void shouldReturnVmWithoutGatewayWhenNoProcessListensThere() {
-    fixture.answers.put("vm-a", new PeerVoteClient.Answer.Absent());
+    fixture.answers.put("vm-a", new PeerAnswer.Absent<>());
 
     votes.ask("i-1", Set.of("vm-a", "vm-c"));
 
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -0,0 +1,207 @@
+package io.lycheejunction.gateway.failover;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.gateway.lease.KnownPrimary;
+import io.lycheejunction.gateway.lease.LeaseGrants;
+import io.lycheejunction.gateway.lease.LeaseReply;
+import io.lycheejunction.gateway.lease.PrimaryLeases;
+import io.lycheejunction.gateway.lease.PrimaryUse;
+import io.lycheejunction.gateway.lease.ReleaseReply;
+import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.target.TestTargets;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+/**
+ * A primary that was replaced goes on until it is told to step down, and VMs that are cut off
+ * together with it would go on to use it. So it is replaced only when no VM holds a lease on it.
+ */
+class PrimaryReleaseTest {
+  private static final String SERVICE = TestTargets.SERVICE;
+  private static final long OTHER_LEASE_MS = PrimaryLeases.DURATION_MS + 100;
+  private static final long MAX_WAIT_MS = 3_000;
+  private static final long STEP_MS = 10;
+  private static final Map<String, String> VMS =
+      Map.of("vm-a", "domain-i-1", "vm-b", "domain-i-2", "vm-c", "domain-i-3");
+
+  private final PrimaryLeases leases = new PrimaryLeases(() -> VMS);
+  private final FailoverFixture fixture = new FailoverFixture(new PrimaryUse.Leased(leases));
+
+  private void holdLease() {
+    long nowMs = fixture.group.scheduler.nowMs();
+    VMS.keySet().forEach(vm -> leases.recordGrant(vm, SERVICE, "i-1", nowMs));
+  }
+
+  private boolean holdsLease() {
+    return leases.isHeld(SERVICE, "i-1", fixture.group.scheduler.nowMs());
+  }
+
+  private void releases(String vm, Map<String, Long> remainingMs) {
+    fixture.leaseClient.releases.put(vm, new ReleaseReply(vm, true, remainingMs));
+  }
+
+  private void startRun() {
+    fixture.crashPrimary();
+    fixture.othersVote(true);
+    fixture.watch.checkPrimaries();
+    fixture.group.scheduler.advanceMs(150);
+    fixture.watch.checkPrimaries();
+  }
+
+  /** Answers status commands until a promotion is ordered, and returns how long that took. */
+  private long answerStatusesUntilOrdered() {
+    long startMs = fixture.group.scheduler.nowMs();
+    while (fixture.orders.isEmpty() && fixture.group.scheduler.nowMs() < startMs + MAX_WAIT_MS) {
+      for (String replica : List.of("i-2", "i-3")) {
+        if (!fixture.group.links.to(replica).isEmpty()) {
+          fixture.group.links.last(replica).greet();
+          fixture.answerAll(replica, 7);
+        }
+      }
+      fixture.group.scheduler.advanceMs(STEP_MS);
+    }
+    return fixture.group.scheduler.nowMs() - startMs;
+  }
+
+  private void reachPrimary() {
+    fixture.watch.checkPrimaries();
+    fixture.group.links.last("i-1").greet().done(TransactionState.OPEN, 1, 5);
+    fixture.group.links.last("i-1").done(TransactionState.NONE, 1, 5);
+    fixture.group.scheduler.advanceMs(PrimaryLeases.DURATION_MS);
+  }
+
+  /** Guards against a longer failover where nothing is cut off: all VMs agree at once. */
+  @Test
+  void shouldOrderAtOnceWhenAllVmsHaveReleasedThePrimary() {
+    releases("vm-a", Map.of("vm-b", OTHER_LEASE_MS, "vm-c", OTHER_LEASE_MS));
+    releases("vm-c", Map.of("vm-a", OTHER_LEASE_MS));
+
+    startRun();
+
+    assertTrue(answerStatusesUntilOrdered() <= 2 * STEP_MS);
+    assertEquals(1, fixture.orders.size());
+  }
+
+  /** Guards against two primaries in use: one VM is cut off from this one but not from i-1. */
+  @Test
+  void shouldOrderOnlyAfterLeasesOfSilentVmsHaveExpired() {
+    releases("vm-c", Map.of("vm-a", OTHER_LEASE_MS));
+
+    startRun();
+    final long waitedMs = answerStatusesUntilOrdered();
+
+    assertEquals(1, fixture.orders.size());
+    assertTrue(waitedMs > OTHER_LEASE_MS, "waited " + waitedMs);
+  }
+
+  /** A VM may also rely on a read of the store from just before the failover lease was taken. */
+  @Test
+  void shouldWaitForReadsOfTheStoreWhenSilentVmHasNoGrantedLease() {
+    releases("vm-c", Map.of());
+
+    startRun();
+    final long waitedMs = answerStatusesUntilOrdered();
+
+    assertEquals(1, fixture.orders.size());
+    assertTrue(waitedMs > PrimaryLeases.DURATION_MS, "waited " + waitedMs);
+  }
+
+  /** Guards against a minority that replaces the primary of a majority. */
+  @Test
+  void shouldNotOrderWhenTooFewVmsReleaseThePrimary() {
+    startRun();
+    fixture.group.scheduler.advanceMs(5 * PrimaryLeases.DURATION_MS);
+
+    assertTrue(fixture.orders.isEmpty());
+  }
+
+  @Test
+  void shouldStopUsingAndGrantingThePrimaryWhenItReleasesIt() {
+    reachPrimary();
+    holdLease();
+    assertTrue(fixture.watch.grantLeases("vm-a").primaries().getFirst().granted());
+    fixture.crashPrimary();
+
+    ReleaseReply reply = fixture.watch.release(SERVICE, "i-1");
+
+    assertTrue(reply.released());
+    assertFalse(holdsLease());
+    assertFalse(fixture.watch.grantLeases("vm-c").primaries().getFirst().granted());
+  }
+
+  /** The leases that a VM has granted are what the replacement has to wait for. */
+  @Test
+  void shouldReportLeasesThatAreStillValidWhenItReleasesThePrimary() {
+    reachPrimary();
+    fixture.watch.grantLeases("vm-a");
+    fixture.watch.checkPrimaries();
+    fixture.group.scheduler.advanceMs(400);
+
+    ReleaseReply reply = fixture.watch.release(SERVICE, "i-1");
+
+    assertEquals(Map.of("vm-a", PrimaryLeases.DURATION_MS - 400), reply.remainingMs());
+  }
+
+  @Test
+  void shouldNotReleaseThePrimaryWhenItAnswers() {
+    fixture.group.scheduler.advanceMs(PrimaryLeases.DURATION_MS);
+    fixture.watch.checkPrimaries();
+    fixture.group.links.last("i-1").greet().done(TransactionState.OPEN, 1, 5);
+
+    assertFalse(fixture.watch.release(SERVICE, "i-1").released());
+  }
+
+  /** Guards against a restarted VM that has forgotten the leases it granted before. */
+  @Test
+  void shouldNotReleaseThePrimaryWhenTheProcessHasJustStarted() {
+    FailoverFixture started = new FailoverFixture(new PrimaryUse.Leased(leases));
+    started.watch.checkPrimaries();
+    started.group.links.to("i-1").forEach(link -> link.drop());
+
+    assertFalse(started.watch.release(SERVICE, "i-1").released());
+  }
+
+  /** After a promotion the former primary still claims the role and still answers. */
+  @Test
+  void shouldUseTheSuccessorWhenAnotherVmHasProvenItsTerm() {
+    fixture.group.targets.update(
+        List.of(
+            TestTargets.target("i-1", true, 1),
+            TestTargets.target("i-2", true, 8),
+            TestTargets.target("i-3", false, 3)));
+    fixture.group.targets.find("i-1").orElseThrow().recordPrimary(1);
+    fixture.watch.checkPrimaries();
+
+    fixture.watch.onReported(new KnownPrimary(SERVICE, "i-2", 2, true));
+
+    assertEquals("i-2", fixture.group.targets.primaryOf(SERVICE).orElseThrow().target().id());
+  }
+
+  /** Guards against a return to the former primary by a VM that has not heard of its successor. */
+  @Test
+  void shouldKeepTheSuccessorWhenAnotherVmStillKnowsTheFormerPrimary() {
+    fixture.group.targets.find("i-2").orElseThrow().recordPrimary(2);
+    fixture.watch.checkPrimaries();
+
+    fixture.watch.onReported(new KnownPrimary(SERVICE, "i-1", 1, true));
+
+    assertEquals("i-2", fixture.group.targets.primaryOf(SERVICE).orElseThrow().target().id());
+  }
+
+  @Test
+  void shouldRecordTheGrantsThatItGives() {
+    fixture.watch.checkPrimaries();
+
+    LeaseReply reply = fixture.watch.grantLeases("vm-a");
+
+    assertEquals("i-1", reply.primaries().getFirst().primary());
+    assertEquals(
+        Map.of("vm-a", PrimaryLeases.DURATION_MS),
+        fixture.grants.remainingMs(SERVICE, fixture.group.scheduler.nowMs()));
+    assertTrue(LeaseGrants.RELEASE_VALID_MS > PrimaryLeases.DURATION_MS);
+  }
+}
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -7,6 +7,7 @@
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.peer.PeerAnswer;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.ServiceLimits;
 import io.lycheejunction.gateway.target.Targets;
@@ -68,9 +69,9 @@
   @Test
   void shouldNotStartWhenRegistrationIsMissingButMostVmsReachThePrimary() {
     fixture.answers.put(
-        "vm-a", new PeerVoteClient.Answer.Voted(new Vote("vm-a", "domain-i-1", "i-1", false)));
+        "vm-a", new PeerAnswer.Replied<>(new Vote("vm-a", "domain-i-1", "i-1", false)));
     fixture.answers.put(
-        "vm-c", new PeerVoteClient.Answer.Voted(new Vote("vm-c", "domain-i-3", "i-1", false)));
+        "vm-c", new PeerAnswer.Replied<>(new Vote("vm-c", "domain-i-3", "i-1", false)));
     fixture.crashPrimary();
 
     fixture.unregisterPrimary();
@@ -115,7 +116,7 @@
   /** Guards against waiting for votes of VMs that were just killed and still count as running. */
   @Test
   void shouldStartWhileRegisteredWhenNoProcessListensOnTheOtherVm() {
-    fixture.answers.put("vm-a", new PeerVoteClient.Answer.Absent());
+    fixture.answers.put("vm-a", new PeerAnswer.Absent<>());
     fixture.store.votes.add(new Vote("vm-c", "domain-i-3", "i-1", true));
 
     fixture.crashPrimary();
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseGrantsTest.java
@@ -0,0 +1,42 @@
+package io.lycheejunction.gateway.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class LeaseGrantsTest {
+  private static final String SERVICE = "ledger";
+
+  private final LeaseGrants grants = new LeaseGrants(0);
+
+  @Test
+  void shouldReportHowLongGrantedLeasesRemainValid() {
+    grants.grant("vm-a", SERVICE, 2_000);
+    grants.grant("vm-b", SERVICE, 2_400);
+
+    assertEquals(
+        Map.of("vm-a", 200L, "vm-b", 600L),
+        grants.remainingMs(SERVICE, 1_800 + PrimaryLeases.DURATION_MS));
+    assertEquals(
+        Map.of("vm-b", 400L), grants.remainingMs(SERVICE, 2_000 + PrimaryLeases.DURATION_MS));
+  }
+
+  /** Guards against a restarted VM that has forgotten the leases it granted before. */
+  @Test
+  void shouldBeIncompleteUntilLeasesFromBeforeTheStartHaveExpired() {
+    assertFalse(grants.isComplete(PrimaryLeases.DURATION_MS - 1));
+    assertTrue(grants.isComplete(PrimaryLeases.DURATION_MS));
+  }
+
+  @Test
+  void shouldReleaseOnlyTheGivenPrimaryAndForLimitedTime() {
+    grants.release(SERVICE, "i-1", 5_000);
+
+    assertTrue(grants.isReleased(SERVICE, "i-1", 5_000));
+    assertFalse(grants.isReleased(SERVICE, "i-2", 5_000));
+    assertFalse(grants.isReleased(SERVICE, "i-1", 5_000 + LeaseGrants.RELEASE_VALID_MS));
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -0,0 +1,172 @@
+package io.lycheejunction.gateway.lease;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.lycheejunction.gateway.peer.PeerAnswer;
+import io.lycheejunction.gateway.schedule.ManualScheduler;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+
+class LeaseRenewalTest {
+  private static final String SERVICE = "ledger";
+  private static final Map<String, String> VMS = Map.of("vm-a", "a", "vm-b", "b", "vm-c", "c");
+  private static final long RTT_MS = 10;
+
+  private final ManualScheduler scheduler = new ManualScheduler();
+  private final PrimaryLeases leases = new PrimaryLeases(() -> VMS);
+  private final Map<String, LeaseReply> replies = new HashMap<>();
+  private final List<KnownPrimary> reported = new ArrayList<>();
+  private Optional<Map<String, String>> replaced = Optional.empty();
+  private KnownPrimary own = primary("i-1", true);
+  private int requests;
+  private int storeReads;
+
+  private static KnownPrimary primary(String id, boolean granted) {
+    return new KnownPrimary(SERVICE, id, 1, granted);
+  }
+
+  private final class Client implements LeaseClient {
+    @Override
+    public void renew(String vm, Consumer<PeerAnswer<LeaseReply>> done) {
+      requests++;
+      LeaseReply reply = replies.get(vm);
+      scheduler.schedule(
+          RTT_MS,
+          () ->
+              done.accept(
+                  reply == null ? new PeerAnswer.Silent<>() : new PeerAnswer.Replied<>(reply)));
+    }
+
+    @Override
+    public void release(
+        String vm, String service, String primary, Consumer<PeerAnswer<ReleaseReply>> done) {
+      throw new UnsupportedOperationException("a renewal does not release");
+    }
+  }
+
+  private final class Primaries implements LeaseRenewal.Primaries {
+    @Override
+    public List<KnownPrimary> known() {
+      return List.of(own);
+    }
+
+    @Override
+    public void onReported(KnownPrimary primary) {
+      reported.add(primary);
+    }
+
+    @Override
+    public void onRenewed() {}
+  }
+
+  private void start() {
+    new LeaseRenewal(
+            "vm-b", () -> VMS, scheduler, new Client(), this::readStore, leases, new Primaries())
+        .start();
+  }
+
+  private void readStore(Consumer<Optional<Map<String, String>>> done) {
+    storeReads++;
+    done.accept(replaced);
+  }
+
+  private boolean isHeld() {
+    return leases.isHeld(SERVICE, "i-1", scheduler.nowMs());
+  }
+
+  @Test
+  void shouldHoldLeaseAsLongAsAnotherDomainGrantsIt() {
+    replies.put("vm-a", new LeaseReply(List.of(primary("i-1", true))));
+    start();
+
+    scheduler.advanceMs(5_000);
+    assertTrue(isHeld());
+
+    replies.clear();
+    scheduler.advanceMs(PrimaryLeases.DURATION_MS + RTT_MS);
+    assertFalse(isHeld());
+  }
+
+  /** Guards against a cost that grows while nothing changes. */
+  @Test
+  void shouldAskEachVmOnceAnIntervalWhenLeasesAreGranted() {
+    replies.put("vm-a", new LeaseReply(List.of(primary("i-1", true))));
+    start();
+    scheduler.advanceMs(1_000);
+    requests = 0;
+
+    scheduler.advanceMs(10 * LeaseRenewal.INTERVAL_MS);
+
+    assertEquals(20, requests);
+    assertEquals(0, storeReads);
+  }
+
+  @Test
+  void shouldNotHoldLeaseWhenOthersKnowAnotherPrimary() {
+    KnownPrimary successor = new KnownPrimary(SERVICE, "i-2", 2, true);
+    replies.put("vm-a", new LeaseReply(List.of(successor)));
+    start();
+
+    scheduler.advanceMs(1_000);
+
+    assertFalse(isHeld());
+    assertTrue(reported.contains(successor));
+  }
+
+  /** Guards against using a primary that this VM has just agreed to replace. */
+  @Test
+  void shouldGiveUpLeaseWhenThisVmDoesNotGrantItAnyMore() {
+    replies.put("vm-a", new LeaseReply(List.of(primary("i-1", true))));
+    start();
+    scheduler.advanceMs(1_000);
+
+    own = primary("i-1", false);
+    scheduler.advanceMs(LeaseRenewal.INTERVAL_MS);
+
+    assertFalse(isHeld());
+  }
+
+  /** Guards against an outage of a VM that is cut off from the other VMs only. */
+  @Test
+  void shouldRelyOnTheStoreWhenNoOtherVmAnswers() {
+    replaced = Optional.of(Map.of());
+    start();
+    scheduler.advanceMs(LeaseRenewal.KNOWN_TO_ALL_AFTER_MS + LeaseRenewal.READ_STORE_AFTER_MS);
+
+    for (int i = 0; i < 50; i++) {
+      scheduler.advanceMs(100);
+      assertTrue(isHeld());
+    }
+  }
+
+  /** Guards against a VM that no other VM knows as a holder yet, and so waits for. */
+  @Test
+  void shouldNotRelyOnTheStoreWhenThisVmHasJustBecomeHolder() {
+    replaced = Optional.of(Map.of());
+    start();
+
+    scheduler.advanceMs(LeaseRenewal.KNOWN_TO_ALL_AFTER_MS - 1);
+
+    assertFalse(isHeld());
+    assertEquals(0, storeReads);
+  }
+
+  /** Guards against the use of a primary whose replacement has begun, as the store tells. */
+  @Test
+  void shouldNotRelyOnTheStoreWhenThePrimaryIsBeingReplaced() {
+    replaced = Optional.of(Map.of(SERVICE, "i-1"));
+    start();
+
+    scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
+
+    assertFalse(isHeld());
+    assertTrue(storeReads > 0);
+  }
+}
