Shorten the outage behind a network cut where leases are used

Change: while two targets claim to be primary, all are asked for their terms. A run ends if the primary answers again before its first order, and the VMs that have released it are told to use it. A holder that counts as gone and was tried within 500 ms is not tried again by a forwarding VM, which then refuses at once. A forwarded single statement carries the time that is left of its limit, less 20 ms.

Tests: three in ForwardingTest, two in PrimaryReleaseTest, one in LeaseGrantsTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
@@ -41,6 +41,7 @@
   private Optional<BeginAttempt> beginAttempt = Optional.empty();
   private LinkRequest request;
   private PooledLink link;
+  private long untilMs;
   private long sentMs;
   private boolean sent;
   private boolean ended;
@@ -76,7 +77,9 @@
     return ended;
   }
 
+  /** Starts the attempt, whose statement has to be answered by {@code untilMs}. */
   void start(long untilMs) {
+    this.untilMs = untilMs;
     if (!statementRequest.writes() && floor.isEmpty()) {
       BeginAttempt attempt =
           new BeginAttempt(
@@ -150,7 +153,9 @@
     link = used;
     sentMs = now();
     sent = true;
-    statementRequest.send(used, floor, rollBack, result -> onResult(used, result));
+    selector
+        .forTarget(statementRequest, untilMs - sentMs)
+        .send(used, floor, rollBack, result -> onResult(used, result));
   }
 
   private static void returnUnused(PooledLink used, boolean inTransaction) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
@@ -53,6 +53,22 @@
         .orElseGet(() -> statement instanceof CallerStatement.Write);
   }
 
+  /**
+   * Returns the statement with another time limit.
+   *
+   * @param timeLimitMs the time limit, in milliseconds
+   * @return the statement
+   */
+  StatementRequest withTimeLimit(long timeLimitMs) {
+    return new StatementRequest(
+        requestId,
+        route.withStatementTimeoutMs(timeLimitMs),
+        session,
+        sessionCommit,
+        statement,
+        preparedStatement);
+  }
+
   /**
    * Sends the statement over a connection.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -8,6 +8,7 @@
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
+import java.util.HashSet;
 import java.util.Optional;
 import java.util.Set;
 
@@ -58,6 +59,15 @@
    */
   CallerStatement.Begin begin(boolean readOnly, Optional<LogPosition> floor);
 
+  /**
+   * Returns a statement as it is sent to a target.
+   *
+   * @param request the statement
+   * @param remainingMs the time until its time limit, in milliseconds
+   * @return the statement, with the time limit that applies to the target
+   */
+  StatementRequest forTarget(StatementRequest request, long remainingMs);
+
   /**
    * Returns the maximum number of targets on which one statement is tried.
    *
@@ -132,6 +142,11 @@
       return new CallerStatement.Begin(floor.isPresent());
     }
 
+    @Override
+    public StatementRequest forTarget(StatementRequest request, long remainingMs) {
+      return request;
+    }
+
     @Override
     public int maxTries() {
       return MAX_TRIES;
@@ -163,6 +178,9 @@
   record Forwarding(Targets holders, LeastCostSelector holderSelector) implements TargetSelector {
     private static final int MAX_TRIES = 3;
 
+    /** The time that the reply of a holder takes, in milliseconds. */
+    private static final long REPLY_MARGIN_MS = 20;
+
     @Override
     public Optional<LogPosition> floor(Route route, LogPosition sessionCommit, long nowMs) {
       boolean ownWrites = route.readRule() instanceof ReadRule.OwnWrites;
@@ -172,7 +190,13 @@
     @Override
     public Optional<TargetHandle> choose(
         Route route, Optional<LogPosition> floor, Set<String> tried, long nowMs) {
-      return holderSelector.choose(route.service(), LogPosition.ORIGIN, tried, nowMs);
+      Set<String> excluded = new HashSet<>(tried);
+      for (TargetHandle holder : holders.of(route.service())) {
+        if (holder.isUnreachable(nowMs)) {
+          excluded.add(holder.target().id());
+        }
+      }
+      return holderSelector.choose(route.service(), LogPosition.ORIGIN, excluded, nowMs);
     }
 
     /** The holder decides whether it may use the primary. */
@@ -186,6 +210,15 @@
       return new CallerStatement.Begin(readOnly);
     }
 
+    /**
+     * The holder ends the statement a little before this VM would, so that its refusal arrives in
+     * time to be passed on.
+     */
+    @Override
+    public StatementRequest forTarget(StatementRequest request, long remainingMs) {
+      return request.withTimeLimit(Math.max(1, remainingMs - REPLY_MARGIN_MS));
+    }
+
     @Override
     public int maxTries() {
       return MAX_TRIES;
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -148,6 +148,7 @@
           switch (result) {
             case ReleaseRound.Result.Denied denied -> {
               releaseDenied = true;
+              withdraw();
               end("primary not released by enough VMs");
             }
             case ReleaseRound.Result.Released released -> {
@@ -307,6 +308,11 @@
       releaseThen(() -> orderPromotion(chosen));
       return;
     }
+    if (orders == 0 && answersAgain()) {
+      withdraw();
+      end("the primary answers again");
+      return;
+    }
     if (!failover.store().isCurrent(token)) {
       end("the store was restored after the lease was acquired");
       return;
@@ -387,9 +393,6 @@
       if (isSynchronous()) {
         resumeReplication();
       }
-      if (releaseDenied) {
-        withdrawReplacement();
-      }
       LOG.info(
           "failover_ended",
           "service",
@@ -403,8 +406,25 @@
     }
   }
 
-  /** Tells the other VMs through the lease that the primary is not being replaced any more. */
-  private void withdrawReplacement() {
+  /** Returns whether a primary that was to be replaced as gone is reached again. */
+  private boolean answersAgain() {
+    return !stepDownFirst
+        && previousPrimary
+            .filter(handle -> handle.isPrimary() && !handle.isGone(now()))
+            .isPresent();
+  }
+
+  /** Tells the other VMs that the primary is not replaced, so that they use it again at once. */
+  private void withdraw() {
+    if (!failover.leases().use().needsLease()) {
+      return;
+    }
+    failover.leases().grants().resume(service, failover.vm());
+    failover
+        .store()
+        .liveVms()
+        .keySet()
+        .forEach(vm -> failover.leases().client().resume(vm, service));
     failover
         .store()
         .acquireLease(
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.gateway.lease.KnownPrimary;
 import io.lycheejunction.gateway.lease.LeaseRenewal;
 import io.lycheejunction.gateway.lease.LeaseReply;
+import io.lycheejunction.gateway.lease.ReleaseHandler;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,7 +13,7 @@
 import java.util.Optional;
 
 /** Detects failed or leaving primaries of all services and starts their replacement. */
-public final class PrimaryWatch implements LeaseRenewal.Primaries {
+public final class PrimaryWatch implements LeaseRenewal.Primaries, ReleaseHandler {
   private static final long CHECK_INTERVAL_MS = 200;
   private static final long URGENT_CHECK_INTERVAL_MS = 40;
   private static final long ISOLATION_DELAY_MS = 400;
@@ -112,16 +113,15 @@
     return new LeaseReply(known);
   }
 
-  /**
-   * Stops using a primary that another VM is about to replace, unless this VM reaches it.
-   *
-   * @param service the service
-   * @param primary the identifier of the primary, or an empty text if the other VM knows none
-   * @return whether the primary is released, and the leases on it that are still valid
-   */
-  public ReleaseReply release(String service, String primary) {
+  @Override
+  public ReleaseReply release(String service, String primary, String requester) {
     ServiceWatch watch = watches.get(service);
-    return watch == null ? ReleaseReply.refused(failover.vm()) : watch.release(primary);
+    return watch == null ? ReleaseReply.refused(failover.vm()) : watch.release(primary, requester);
+  }
+
+  @Override
+  public void resume(String service, String requester) {
+    failover.leases().grants().resume(service, requester);
   }
 
   private long unreachablePrimaries() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -79,6 +79,9 @@
       return checkWithoutPrimary();
     }
     TargetHandle handle = primary.get();
+    if (failover.leases().use().needsLease() && claimants() > 1) {
+      findPrimary();
+    }
     probe.probeIfDue(handle);
     boolean gone = handle.isGone(now());
     boolean canStepDown = handle.target().leaving() || !gone;
@@ -152,8 +155,9 @@
    * Stops using a primary that another VM is about to replace, unless this VM reaches it.
    *
    * @param primary the identifier of the primary, or an empty text if the other VM knows none
+   * @param requester the name of the VM that is about to replace it
    */
-  ReleaseReply release(String primary) {
+  ReleaseReply release(String primary, String requester) {
     Optional<TargetHandle> known = failover.targets().primaryOf(service);
     if (known.isPresent() && !known.get().isGone(now())) {
       if (now() - known.get().lastAnswerMs() > MAX_ANSWER_AGE_MS) {
@@ -165,7 +169,7 @@
     if (!leases.grants().isComplete(now())) {
       return ReleaseReply.refused(failover.vm());
     }
-    leases.release(service, primary, now());
+    leases.release(service, primary, requester, now());
     return new ReleaseReply(failover.vm(), true, leases.grants().remainingMs(service, now()));
   }
 
@@ -228,6 +232,11 @@
     }
   }
 
+  /** Returns how many targets claim to be primary; a replaced primary may go on to do so. */
+  private long claimants() {
+    return failover.targets().of(service).stream().filter(TargetHandle::isPrimary).count();
+  }
+
   private boolean checkWithoutPrimary() {
     if (lastPrimary.isEmpty() && failover.targets().of(service).isEmpty()) {
       return false;
@@ -350,7 +359,7 @@
             previousPrimary,
             previous,
             stepDownFirst,
-            () -> release(previous));
+            () -> release(previous, failover.vm()));
     run.start();
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseClient.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseClient.java
@@ -23,4 +23,13 @@
    * @param done is called once with the result
    */
   void release(String vm, String service, String primary, Consumer<PeerAnswer<ReleaseReply>> done);
+
+  /**
+   * Tells another VM that a primary is not replaced, so that it may be used again. The VM finds out
+   * by itself if it does not receive this.
+   *
+   * @param vm the name of the VM
+   * @param service the service
+   */
+  void resume(String vm, String service);
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseContext.java
@@ -22,10 +22,11 @@
    *
    * @param service the service
    * @param primary the identifier of the primary, or an empty text if none is known
+   * @param requester the name of the VM that is about to replace the primary
    * @param nowMs the present time, in milliseconds
    */
-  public void release(String service, String primary, long nowMs) {
-    grants.release(service, primary, nowMs);
+  public void release(String service, String primary, String requester, long nowMs) {
+    grants.release(service, primary, requester, nowMs);
     if (use instanceof PrimaryUse.Leased(PrimaryLeases leases)) {
       leases.drop(service);
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
@@ -22,7 +22,7 @@
 
   private final long startedMs;
   private final Map<String, Map<String, Long>> grantedUntilMs = new HashMap<>();
-  private final Map<String, Release> releases = new HashMap<>();
+  private final Map<String, Map<String, Release>> releases = new HashMap<>();
 
   /**
    * Creates the state of a process that has just started.
@@ -62,10 +62,26 @@
    *
    * @param service the service
    * @param primary the identifier of the primary, or an empty text if none is known
+   * @param requester the name of the VM that is about to replace the primary
    * @param nowMs the present time, in milliseconds
    */
-  public void release(String service, String primary, long nowMs) {
-    releases.put(service, new Release(primary, nowMs + RELEASE_VALID_MS));
+  public void release(String service, String primary, String requester, long nowMs) {
+    releases
+        .computeIfAbsent(service, name -> new HashMap<>())
+        .put(requester, new Release(primary, nowMs + RELEASE_VALID_MS));
+  }
+
+  /**
+   * Ends a release, since the primary is not replaced. Releases for other VMs remain.
+   *
+   * @param service the service
+   * @param requester the name of the VM that the primary was released for
+   */
+  public void resume(String service, String requester) {
+    Map<String, Release> ofService = releases.get(service);
+    if (ofService != null) {
+      ofService.remove(requester);
+    }
   }
 
   /**
@@ -77,8 +93,8 @@
    * @return true if no lease on it may be granted
    */
   public boolean isReleased(String service, String primary, long nowMs) {
-    Release release = releases.get(service);
-    return release != null && release.covers(primary, nowMs);
+    return releases.getOrDefault(service, Map.of()).values().stream()
+        .anyMatch(release -> release.covers(primary, nowMs));
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/route/Route.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/Route.java
@@ -25,4 +25,14 @@
     Objects.requireNonNull(service, "service is null");
     Objects.requireNonNull(readRule, "readRule is null");
   }
+
+  /**
+   * Returns the route with another time limit of statements.
+   *
+   * @param timeoutMs the time limit, in milliseconds
+   * @return the route
+   */
+  public Route withStatementTimeoutMs(long timeoutMs) {
+    return new Route(database, service, readRule, timeoutMs, latencyObjectiveMs, priority);
+  }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -23,6 +23,9 @@
 
   private static final long SUSPECTED_AFTER_MS = 60;
 
+  /** How long a target that counts as gone is spared another request, in milliseconds. */
+  private static final long RETRY_GONE_AFTER_MS = 500;
+
   private Target target;
   private final TargetPool pool;
   private long claimedAtRevision;
@@ -32,6 +35,7 @@
   private long notPrimaryUntilRevision = Long.MIN_VALUE;
   private long provenTerm;
   private long lastAnswerMs = Long.MIN_VALUE;
+  private long lastRequestMs = Long.MIN_VALUE / 2;
   private long overdueSinceMs = Long.MIN_VALUE;
   private LogPosition applied = LogPosition.ORIGIN;
   private FailureDetector failureDetector;
@@ -146,6 +150,18 @@
    */
   public void recordRequest(long nowMs) {
     failureDetector = failureDetector.afterRequest(nowMs);
+    lastRequestMs = nowMs;
+  }
+
+  /**
+   * Returns whether the target counts as gone and was tried a moment ago, so that another request
+   * would only wait in vain.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @return true if no request should be sent to it now
+   */
+  public boolean isUnreachable(long nowMs) {
+    return isGone(nowMs) && nowMs - lastRequestMs < RETRY_GONE_AFTER_MS;
   }
 
   /**
@@ -238,7 +254,12 @@
     return provenTerm;
   }
 
-  boolean isPrimary() {
+  /**
+   * Returns whether the target counts as primary, by its registration or by its own confirmation.
+   *
+   * @return true if so; several targets may for a while
+   */
+  public boolean isPrimary() {
     return provenTerm > 0 || target.claimsPrimary() && target.revision() > notPrimaryUntilRevision;
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
@@ -1,12 +1,15 @@
 package io.lycheejunction.gateway.dispatch;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.dispatch.DispatchFixture.RecordedOutcome;
 import io.lycheejunction.gateway.holder.Holder;
 import io.lycheejunction.gateway.holder.HolderTargets;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
@@ -33,6 +36,9 @@
   private static final Route ROUTE =
       new Route("db", TestTargets.SERVICE, new ReadRule.Latest(), 1_000, 200, 1);
 
+  private static final Fault UNREACHABLE =
+      Fault.of(ResultCode.TARGET_UNREACHABLE, "no answer from the holder");
+
   private final DispatchFixture fixture = new DispatchFixture();
 
   private static Holder holder(String vm, String failureDomain) {
@@ -137,4 +143,51 @@
 
     assertEquals(new CallerStatement.Begin(true), firstCommand(NEAR).statement());
   }
+
+  /**
+   * Guards against statements that wait for the holders of other failure domains until their time
+   * limit, when this VM is cut off together with a holder that has no primary.
+   */
+  @Test
+  void shouldRefuseAtOnceWhenTheOtherHolderWasJustUnreachable() {
+    fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.links.last(NEAR).greet().fault(ResultCode.NO_PRIMARY, TransactionState.NONE);
+    fixture.scheduler.advanceMs(250);
+    fixture.holders.find(FAR).orElseThrow().connectFailed(UNREACHABLE, fixture.scheduler.nowMs());
+
+    RecordedOutcome second = fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.links.last(NEAR).fault(ResultCode.NO_PRIMARY, TransactionState.NONE);
+
+    assertEquals(ResultCode.NO_PRIMARY, second.fault().code());
+    assertTrue(second.fault().retryAfterMs() > 0);
+  }
+
+  /** Guards against a holder that is never used again after it was unreachable. */
+  @Test
+  void shouldTryUnreachableHolderAgainWhenSomeTimeHasPassed() {
+    fixture.holders.find(FAR).orElseThrow().recordRequest(fixture.scheduler.nowMs());
+    fixture.holders.find(FAR).orElseThrow().connectFailed(UNREACHABLE, fixture.scheduler.nowMs());
+    fixture.scheduler.advanceMs(600);
+
+    fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.links.last(NEAR).greet().fault(ResultCode.NO_PRIMARY, TransactionState.NONE);
+
+    assertFalse(fixture.links.to(FAR).isEmpty());
+  }
+
+  /**
+   * Guards against a write with an unknown outcome that has not run: a holder that waits for a
+   * primary has to refuse it before this VM gives up.
+   */
+  @Test
+  void shouldSendRemainingTimeWithStatementWhenPartOfItHasPassed() {
+    fixture.run(new ReadRule.Latest(), DispatchFixture.write());
+    fixture.scheduler.advanceMs(100);
+
+    TargetCommand.Run run = firstCommand(NEAR);
+
+    long timeLimitMs = run.route().orElseThrow().statementTimeoutMs();
+    assertTrue(timeLimitMs < DispatchFixture.TIMEOUT_MS - 100, "time limit " + timeLimitMs);
+    assertTrue(timeLimitMs > DispatchFixture.TIMEOUT_MS - 200, "time limit " + timeLimitMs);
+  }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -89,6 +89,12 @@
   static final class FakeLeaseClient implements LeaseClient {
     final Map<String, ReleaseReply> releases = new HashMap<>();
     final List<String> askedToRelease = new ArrayList<>();
+    final List<String> toldToResume = new ArrayList<>();
+
+    @Override
+    public void resume(String vm, String service) {
+      toldToResume.add(vm);
+    }
 
     @Override
     public void renew(String vm, Consumer<PeerAnswer<LeaseReply>> done) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -126,7 +126,7 @@
     assertTrue(fixture.watch.grantLeases("vm-a").primaries().getFirst().granted());
     fixture.crashPrimary();
 
-    ReleaseReply reply = fixture.watch.release(SERVICE, "i-1");
+    ReleaseReply reply = fixture.watch.release(SERVICE, "i-1", "vm-a");
 
     assertTrue(reply.released());
     assertFalse(holdsLease());
@@ -141,7 +141,7 @@
     fixture.watch.checkPrimaries();
     fixture.group.scheduler.advanceMs(400);
 
-    ReleaseReply reply = fixture.watch.release(SERVICE, "i-1");
+    ReleaseReply reply = fixture.watch.release(SERVICE, "i-1", "vm-a");
 
     assertEquals(Map.of("vm-a", PrimaryLeases.DURATION_MS - 400), reply.remainingMs());
   }
@@ -152,7 +152,7 @@
     fixture.watch.checkPrimaries();
     fixture.group.links.last("i-1").greet().done(TransactionState.OPEN, 1, 5);
 
-    assertFalse(fixture.watch.release(SERVICE, "i-1").released());
+    assertFalse(fixture.watch.release(SERVICE, "i-1", "vm-a").released());
   }
 
   /** Guards against a restarted VM that has forgotten the leases it granted before. */
@@ -162,7 +162,7 @@
     started.watch.checkPrimaries();
     started.group.links.to("i-1").forEach(link -> link.drop());
 
-    assertFalse(started.watch.release(SERVICE, "i-1").released());
+    assertFalse(started.watch.release(SERVICE, "i-1", "vm-a").released());
   }
 
   /** After a promotion the former primary still claims the role and still answers. */
@@ -204,4 +204,42 @@
         fixture.grants.remainingMs(SERVICE, fixture.group.scheduler.nowMs()));
     assertTrue(LeaseGrants.RELEASE_VALID_MS > PrimaryLeases.DURATION_MS);
   }
+
+  /**
+   * Guards against a needless promotion, which loses commits: a network cut ends while the run
+   * waits for leases to expire.
+   */
+  @Test
+  void shouldGiveUpAndLetOthersResumeWhenThePrimaryAnswersAgainBeforeTheOrder() {
+    releases("vm-c", Map.of());
+    startRun();
+
+    fixture.group.scheduler.advanceMs(PrimaryLeases.DURATION_MS);
+    fixture.group.targets.find("i-1").orElseThrow().recordAnswer(fixture.group.scheduler.nowMs());
+    answerStatusesUntilOrdered();
+
+    assertTrue(fixture.orders.isEmpty());
+    assertTrue(fixture.leaseClient.toldToResume.contains("vm-c"));
+    assertFalse(fixture.grants.isReleased(SERVICE, "i-1", fixture.group.scheduler.nowMs()));
+  }
+
+  /**
+   * After a promotion the former primary still answers and still claims the role. Its registration
+   * and the one of its successor do not tell which one leads; their own terms do.
+   */
+  @Test
+  void shouldAskAllTargetsWhenTwoClaimToBePrimary() {
+    reachPrimary();
+    fixture.group.targets.update(
+        List.of(
+            TestTargets.target("i-1", true, 1),
+            TestTargets.target("i-2", true, 8),
+            TestTargets.target("i-3", false, 3)));
+    fixture.group.targets.find("i-1").orElseThrow().recordPrimary(1);
+
+    fixture.watch.checkPrimaries();
+
+    assertFalse(fixture.group.links.to("i-2").isEmpty());
+    assertFalse(fixture.group.links.to("i-3").isEmpty());
+  }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseGrantsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseGrantsTest.java
@@ -33,10 +33,23 @@
 
   @Test
   void shouldReleaseOnlyTheGivenPrimaryAndForLimitedTime() {
-    grants.release(SERVICE, "i-1", 5_000);
+    grants.release(SERVICE, "i-1", "vm-a", 5_000);
 
     assertTrue(grants.isReleased(SERVICE, "i-1", 5_000));
     assertFalse(grants.isReleased(SERVICE, "i-2", 5_000));
     assertFalse(grants.isReleased(SERVICE, "i-1", 5_000 + LeaseGrants.RELEASE_VALID_MS));
   }
+
+  /** Two VMs may be about to replace the primary at once, and only one gives up. */
+  @Test
+  void shouldKeepReleaseForAnotherVmWhenOneResumes() {
+    grants.release(SERVICE, "i-1", "vm-a", 5_000);
+    grants.release(SERVICE, "i-1", "vm-b", 5_000);
+
+    grants.resume(SERVICE, "vm-a");
+    assertTrue(grants.isReleased(SERVICE, "i-1", 5_000));
+
+    grants.resume(SERVICE, "vm-b");
+    assertFalse(grants.isReleased(SERVICE, "i-1", 5_000));
+  }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -49,6 +49,11 @@
         String vm, String service, String primary, Consumer<PeerAnswer<ReleaseReply>> done) {
       throw new UnsupportedOperationException("a renewal does not release");
     }
+
+    @Override
+    public void resume(String vm, String service) {
+      throw new UnsupportedOperationException("a renewal does not release");
+    }
   }
 
   private final class Primaries implements LeaseRenewal.Primaries {
