--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -141,9 +141,11 @@
   }
 
   private void checkRepeatedly() {
-    checkPrimaries();
-    failover
-        .scheduler()
-        .schedule(checkSoon ? URGENT_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS, this::checkRepeatedly);
+    try {
+      checkPrimaries();
+    } finally {
+      long intervalMs = checkSoon ? URGENT_CHECK_INTERVAL_MS : CHECK_INTERVAL_MS;
+      failover.scheduler().schedule(intervalMs, this::checkRepeatedly);
+    }
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -100,14 +100,18 @@
 
   /** Renews the leases now and then at regular intervals. */
   public void start() {
-    renew();
-    boolean granted = isGrantedByVms();
-    if (granted) {
-      ungrantedSinceMs = GRANTED;
-    } else {
-      readStoreIfDue();
+    boolean granted = true;
+    try {
+      renew();
+      granted = isGrantedByVms();
+      if (granted) {
+        ungrantedSinceMs = GRANTED;
+      } else {
+        readStoreIfDue();
+      }
+    } finally {
+      scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::start);
     }
-    scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::start);
   }
 
   private void readStoreIfDue() {
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -35,6 +35,7 @@
     Optional<Lease> lease = Optional.empty();
     boolean reachable = true;
     boolean leaseTaken;
+    boolean failNextRead;
     long oldestCurrentToken;
     long nextToken = FIRST_TOKEN;
 
@@ -52,6 +53,10 @@
 
     @Override
     public List<Vote> votes(String service) {
+      if (failNextRead) {
+        failNextRead = false;
+        throw new IllegalStateException("unexpected");
+      }
       return votes;
     }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import io.lycheejunction.gateway.lease.KnownPrimary;
@@ -242,4 +243,15 @@
     assertFalse(fixture.group.links.to("i-2").isEmpty());
     assertFalse(fixture.group.links.to("i-3").isEmpty());
   }
+
+  /** One unexpected error ended the watch, and no primary was replaced from then on. */
+  @Test
+  void shouldKeepCheckingWhenOneCheckFails() {
+    fixture.store.failNextRead = true;
+    assertThrows(IllegalStateException.class, fixture.watch::start);
+
+    fixture.group.scheduler.advanceMs(1_000);
+
+    assertFalse(fixture.group.links.to("i-1").isEmpty());
+  }
 }
