Fix the number of voters, so that two views of the holders can't both decide

The holder of ziller had been replaced at 26 to 32 s; otz-3, cut off at 33.7 s, knew two holders and took itself for half of them, while inn-2 and ziller-3 knew three and decided without it.

Change: one seat in each failure domain of the settings, that of its first holder slot. A vacant seat counts against both sides. A voter whose slot may have expired grants nothing, and one that has just taken its seat does not vote. VMs are asked to release a primary before the failover lease is acquired, so that a denied replacement writes nothing to the store, and the table of holders is read again then. A former primary that is dead and still registered is not asked for its term over and over.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.lease.LeaseContext;
 import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.TargetCommand;
@@ -53,6 +54,7 @@
   private long releasedMs = NEVER;
   private boolean steppedDown;
   private boolean releaseDenied;
+  private Optional<ReleaseRound.Result.Released> released = Optional.empty();
   private long startMs;
   private long lastOrderMs;
   private int orders;
@@ -78,7 +80,11 @@
 
   void start() {
     startMs = now();
-    acquireLease(this::stepDownOrSelect);
+    if (stepDownFirst && previousPrimary.isPresent()) {
+      acquireLease(() -> stepDown(previousPrimary.get()));
+    } else {
+      releaseThen(() -> acquireLease(() -> awaitUnused(this::selectCandidate)));
+    }
   }
 
   boolean isEnded() {
@@ -125,15 +131,7 @@
             });
   }
 
-  private void stepDownOrSelect() {
-    if (stepDownFirst && previousPrimary.isPresent()) {
-      stepDown(previousPrimary.get());
-    } else {
-      releaseThen(this::selectCandidate);
-    }
-  }
-
-  /** Continues once no VM uses the previous primary any more. */
+  /** Continues once a quorum has released the previous primary. */
   private void releaseThen(Runnable next) {
     if (steppedDown || !failover.leases().use().needsLease()) {
       next.run();
@@ -148,30 +146,41 @@
           switch (result) {
             case ReleaseRound.Result.Denied denied -> {
               releaseDenied = true;
+              failover.leases().voters().refresh();
               withdraw();
               end("primary not released by enough VMs");
             }
-            case ReleaseRound.Result.Released released -> {
+            case ReleaseRound.Result.Released granted -> {
+              released = Optional.of(granted);
               releasedMs = now();
-              long waitMs = Math.max(0, unusedFromMs(released) - now());
-              failover.gate().expectPromotion(service, waitMs);
-              failover.scheduler().schedule(waitMs, () -> continueRun(next));
+              continueRun(next);
             }
           }
         });
   }
 
+  /** Continues once no VM uses the previous primary any more. */
+  private void awaitUnused(Runnable next) {
+    if (released.isEmpty()) {
+      next.run();
+      return;
+    }
+    long waitMs = Math.max(0, unusedFromMs(released.get()) - now());
+    failover.gate().expectPromotion(service, waitMs);
+    failover.scheduler().schedule(waitMs, () -> continueRun(next));
+  }
+
   /**
    * Returns when the primary is unused. A VM that has not released it may rely on a read of the
    * store from before this process acquired the failover lease, for the duration of its lease.
    */
-  private long unusedFromMs(ReleaseRound.Result.Released released) {
-    if (released.byAll()) {
-      return released.unusedFromMs();
+  private long unusedFromMs(ReleaseRound.Result.Released granted) {
+    if (granted.byAll()) {
+      return granted.unusedFromMs();
     }
     long storeReadsExpiredMs =
         firstTokenMs + PrimaryLeases.DURATION_MS + ReleaseRound.CLOCK_MARGIN_MS;
-    return Math.max(released.unusedFromMs(), storeReadsExpiredMs);
+    return Math.max(granted.unusedFromMs(), storeReadsExpiredMs);
   }
 
   private void continueRun(Runnable next) {
@@ -200,7 +209,7 @@
               !answers.isEmpty(),
               "position",
               requiredPosition);
-          releaseThen(this::selectCandidate);
+          releaseThen(() -> awaitUnused(this::selectCandidate));
         });
   }
 
@@ -305,7 +314,7 @@
       return;
     }
     if (releasedMs != NEVER && now() - releasedMs > MAX_RELEASE_AGE_MS) {
-      releaseThen(() -> orderPromotion(chosen));
+      releaseThen(() -> awaitUnused(() -> orderPromotion(chosen)));
       return;
     }
     if (orders == 0 && answersAgain()) {
@@ -416,22 +425,25 @@
 
   /** Tells the other VMs that the primary is not replaced, so that they use it again at once. */
   private void withdraw() {
-    if (!failover.leases().use().needsLease()) {
+    LeaseContext leases = failover.leases();
+    if (!leases.use().needsLease()) {
       return;
     }
-    failover.leases().grants().resume(service, failover.vm());
-    failover
-        .store()
-        .liveVms()
-        .keySet()
-        .forEach(vm -> failover.leases().client().resume(vm, service));
-    failover
-        .store()
-        .acquireLease(
-            service,
-            failover.holder(),
-            "",
-            result -> LOG.info("failover_withdrawn", "service", service, "result", result));
+    leases.grants().resume(service, failover.vm());
+    for (String vm : failover.store().liveVms().keySet()) {
+      if (!vm.equals(failover.vm())) {
+        leases.client().resume(vm, service);
+      }
+    }
+    if (firstTokenMs != NEVER) {
+      failover
+          .store()
+          .acquireLease(
+              service,
+              failover.holder(),
+              "",
+              result -> LOG.info("failover_withdrawn", "service", service, "result", result));
+    }
   }
 
   private long now() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailureQuorum.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailureQuorum.java
@@ -1,7 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.core.failover.PreVote;
-import io.lycheejunction.gateway.lease.DomainQuorum;
+import io.lycheejunction.gateway.lease.VoterSet;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -48,6 +48,8 @@
     if (!registered) {
       return PreVote.Outcome.GRANTED;
     }
-    return DomainQuorum.outcome(vms, reportingGone);
+    return VoterSet.of(vms).decides(reportingGone)
+        ? PreVote.Outcome.GRANTED
+        : PreVote.Outcome.DENIED;
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -103,6 +103,9 @@
    * @return the primaries that this VM knows
    */
   public LeaseReply grantLeases(String vm) {
+    if (failover.leases().voters().seatAgeMs().isEmpty()) {
+      return new LeaseReply(List.of());
+    }
     long nowMs = failover.scheduler().nowMs();
     List<KnownPrimary> known = known();
     for (KnownPrimary primary : known) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
@@ -1,12 +1,10 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.common.log.EventLog;
-import io.lycheejunction.core.failover.PreVote;
-import io.lycheejunction.gateway.lease.DomainQuorum;
 import io.lycheejunction.gateway.lease.ReleaseReply;
+import io.lycheejunction.gateway.lease.VoterSet;
 import io.lycheejunction.gateway.peer.PeerAnswer;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -39,17 +37,18 @@
     record Released(long unusedFromMs, boolean byAll) implements Result {}
 
     /**
-     * Too few VMs have released the primary.
+     * Too few voters have released the primary.
      *
-     * @param released the number of VMs that have
+     * @param voters the number of voters that have
      */
-    record Denied(int released) implements Result {}
+    record Denied(int voters) implements Result {}
   }
 
   private final FailoverContext failover;
   private final String service;
   private final String primary;
-  private final Map<String, String> vms;
+  private final VoterSet voters;
+  private final Set<String> holders;
   private final Consumer<Result> done;
   private final List<ReleaseReply> replies = new ArrayList<>();
   private int pending;
@@ -59,8 +58,10 @@
     this.failover = failover;
     this.service = service;
     this.primary = primary;
-    this.vms = new HashMap<>(failover.store().liveVms());
-    this.vms.put(failover.vm(), failover.failureDomain());
+    this.voters = failover.leases().voters().voters();
+    this.holders = new HashSet<>(failover.store().liveVms().keySet());
+    this.holders.addAll(voters.groupByVm().keySet());
+    this.holders.add(failover.vm());
     this.done = done;
   }
 
@@ -81,7 +82,7 @@
       Consumer<Result> done) {
     ReleaseRound round = new ReleaseRound(failover, service, primary, done);
     round.replies.add(own);
-    Set<String> others = new HashSet<>(round.vms.keySet());
+    Set<String> others = new HashSet<>(round.holders);
     others.remove(failover.vm());
     round.pending = others.size();
     if (others.isEmpty()) {
@@ -104,11 +105,19 @@
 
   private void end() {
     Set<String> released = new HashSet<>();
-    replies.stream().filter(ReleaseReply::released).forEach(reply -> released.add(reply.vm()));
+    Set<String> agreeing = new HashSet<>();
+    for (ReleaseReply reply : replies) {
+      if (reply.released()) {
+        released.add(reply.vm());
+      }
+      if (reply.released() && reply.voter()) {
+        agreeing.add(reply.vm());
+      }
+    }
     Result result =
-        DomainQuorum.outcome(vms, released) == PreVote.Outcome.GRANTED
-            ? new Result.Released(unusedFromMs(released), released.containsAll(vms.keySet()))
-            : new Result.Denied(released.size());
+        voters.decides(agreeing)
+            ? new Result.Released(unusedFromMs(released), released.containsAll(holders))
+            : new Result.Denied(agreeing.size());
     LOG.info(
         "primary_released",
         "service",
@@ -116,7 +125,7 @@
         "primary",
         primary,
         "vms",
-        vms.size(),
+        holders.size(),
         "released",
         released.size(),
         "result",
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -6,12 +6,14 @@
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.lease.KnownPrimary;
 import io.lycheejunction.gateway.lease.LeaseContext;
+import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Watches the primary of one service and starts its replacement when it is gone or leaving. */
 final class ServiceWatch {
@@ -23,6 +25,9 @@
   /** How long a known primary is gone before all targets are asked for it, in milliseconds. */
   private static final long FIND_PRIMARY_AFTER_MS = 1_500;
 
+  /** The proven term of a target that has not confirmed that it is primary. */
+  private static final long UNPROVEN = 0;
+
   private static final long NOT_GONE = Long.MAX_VALUE;
 
   /**
@@ -79,7 +84,7 @@
       return checkWithoutPrimary();
     }
     TargetHandle handle = primary.get();
-    if (failover.leases().use().needsLease() && claimants() > 1) {
+    if (failover.leases().use().needsLease() && isContested(handle)) {
       findPrimary();
     }
     probe.probeIfDue(handle);
@@ -166,11 +171,18 @@
       return ReleaseReply.refused(failover.vm());
     }
     LeaseContext leases = failover.leases();
-    if (!leases.grants().isComplete(now())) {
-      return ReleaseReply.refused(failover.vm());
-    }
     leases.release(service, primary, requester, now());
-    return new ReleaseReply(failover.vm(), true, leases.grants().remainingMs(service, now()));
+    return new ReleaseReply(
+        failover.vm(), true, knowsAllGrants(), leases.grants().remainingMs(service, now()));
+  }
+
+  /**
+   * Returns whether this VM has had its seat for so long that leases which were granted from it
+   * before, by another VM or by an earlier process, have expired.
+   */
+  private boolean knowsAllGrants() {
+    OptionalLong seatAgeMs = failover.leases().voters().seatAgeMs();
+    return seatAgeMs.isPresent() && seatAgeMs.getAsLong() >= PrimaryLeases.DURATION_MS;
   }
 
   private boolean isLeaseGranted(TargetHandle handle) {
@@ -232,9 +244,15 @@
     }
   }
 
-  /** Returns how many targets claim to be primary; a replaced primary may go on to do so. */
-  private long claimants() {
-    return failover.targets().of(service).stream().filter(TargetHandle::isPrimary).count();
+  /**
+   * Returns whether another target claims to be primary too, in a term that is not known to be
+   * lower. A replaced primary may go on to claim the role.
+   */
+  private boolean isContested(TargetHandle primary) {
+    return failover.targets().of(service).stream()
+        .filter(handle -> handle != primary && handle.isPrimary())
+        .mapToLong(TargetHandle::provenTerm)
+        .anyMatch(term -> term == UNPROVEN || term >= primary.provenTerm());
   }
 
   private boolean checkWithoutPrimary() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseContext.java
@@ -8,13 +8,16 @@
  * @param use whether this VM may use a primary
  * @param grants the leases that this VM has granted to others
  * @param client requests the release of primaries from other VMs
+ * @param voters the VMs that grant leases
  */
-public record LeaseContext(PrimaryUse use, LeaseGrants grants, LeaseClient client) {
+public record LeaseContext(
+    PrimaryUse use, LeaseGrants grants, LeaseClient client, LeaseVoters voters) {
   /** Rejects null components. */
   public LeaseContext {
     Objects.requireNonNull(use, "use is null");
     Objects.requireNonNull(grants, "grants is null");
     Objects.requireNonNull(client, "client is null");
+    Objects.requireNonNull(voters, "voters is null");
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
@@ -4,12 +4,7 @@
 import java.util.Map;
 import java.util.Objects;
 
-/**
- * The leases that this VM has granted to others, and the primaries that it has released.
- *
- * <p>Nothing is kept beyond the process. A VM that has just started may have granted leases before,
- * so it releases nothing until those have expired.
- */
+/** The leases that this VM has granted to others, and the primaries that it has released. */
 public final class LeaseGrants {
   /** How long a released primary is not used and no lease on it is granted, in milliseconds. */
   public static final long RELEASE_VALID_MS = 3_000;
@@ -20,18 +15,11 @@
     }
   }
 
-  private final long startedMs;
   private final Map<String, Map<String, Long>> grantedUntilMs = new HashMap<>();
   private final Map<String, Map<String, Release>> releases = new HashMap<>();
 
-  /**
-   * Creates the state of a process that has just started.
-   *
-   * @param startedMs the present time, in milliseconds
-   */
-  public LeaseGrants(long startedMs) {
-    this.startedMs = startedMs;
-  }
+  /** Creates the state without any grant or release. */
+  public LeaseGrants() {}
 
   /**
    * Records that this VM grants the lease on a service's primary.
@@ -47,16 +35,6 @@
         .put(vm, nowMs + PrimaryLeases.DURATION_MS);
   }
 
-  /**
-   * Returns whether this VM remembers all leases that it has granted.
-   *
-   * @param nowMs the present time, in milliseconds
-   * @return false for the duration of a lease after the start
-   */
-  public boolean isComplete(long nowMs) {
-    return nowMs - startedMs >= PrimaryLeases.DURATION_MS;
-  }
-
   /**
    * Releases a primary: no lease on it is granted for {@link #RELEASE_VALID_MS}.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -8,7 +8,6 @@
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
-import java.util.function.Supplier;
 
 /**
  * Renews this VM's leases on all primaries by regular requests to the other holders, and by reads
@@ -57,7 +56,7 @@
   }
 
   private final String vm;
-  private final Supplier<Map<String, String>> vms;
+  private final LeaseVoters voters;
   private final Scheduler scheduler;
   private final LeaseClient client;
   private final ReplacedPrimaries replaced;
@@ -73,7 +72,7 @@
    * Creates a renewal that is idle until {@link #start}.
    *
    * @param vm the name of this VM
-   * @param vms returns the failure domain of each holder including this VM, keyed by VM name
+   * @param voters the VMs that grant leases
    * @param scheduler the clock and the timers
    * @param client sends the requests
    * @param replaced reads the store
@@ -82,14 +81,14 @@
    */
   public LeaseRenewal(
       String vm,
-      Supplier<Map<String, String>> vms,
+      LeaseVoters voters,
       Scheduler scheduler,
       LeaseClient client,
       ReplacedPrimaries replaced,
       PrimaryLeases leases,
       Primaries primaries) {
     this.vm = Objects.requireNonNull(vm, "vm is null");
-    this.vms = Objects.requireNonNull(vms, "vms is null");
+    this.voters = Objects.requireNonNull(voters, "voters is null");
     this.scheduler = Objects.requireNonNull(scheduler, "scheduler is null");
     this.client = Objects.requireNonNull(client, "client is null");
     this.replaced = Objects.requireNonNull(replaced, "replaced is null");
@@ -152,7 +151,7 @@
   /** Renews the leases now, except with VMs whose answers are pending. */
   public void renew() {
     grantToSelf();
-    for (String peer : vms.get().keySet()) {
+    for (String peer : voters.voters().groupByVm().keySet()) {
       if (!peer.equals(vm) && inFlight.add(peer)) {
         long requestedMs = scheduler.nowMs();
         client.renew(peer, answer -> onAnswer(peer, requestedMs, answer));
@@ -163,9 +162,9 @@
   private void grantToSelf() {
     long nowMs = scheduler.nowMs();
     for (KnownPrimary own : primaries.known()) {
-      if (own.granted()) {
+      if (own.granted() && voters.seatAgeMs().isPresent()) {
         leases.recordGrant(vm, own.service(), own.primary(), nowMs);
-      } else {
+      } else if (!own.granted()) {
         leases.drop(own.service());
       }
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/PrimaryLeases.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/PrimaryLeases.java
@@ -45,17 +45,17 @@
     }
   }
 
-  private final Supplier<Map<String, String>> vms;
+  private final Supplier<VoterSet> voters;
   private final Map<String, ServiceLease> byService = new HashMap<>();
   private long validFromMs = NEVER;
 
   /**
    * Creates the leases, none of which is held.
    *
-   * @param vms returns the failure domain of each holder including this VM, keyed by VM name
+   * @param voters returns the VMs that grant leases
    */
-  public PrimaryLeases(Supplier<Map<String, String>> vms) {
-    this.vms = Objects.requireNonNull(vms, "vms is null");
+  public PrimaryLeases(Supplier<VoterSet> voters) {
+    this.voters = Objects.requireNonNull(voters, "voters is null");
   }
 
   /**
@@ -159,13 +159,13 @@
 
   /** Returns until when enough VMs have granted the lease to prevent a decision without them. */
   private long heldUntilMs(Map<String, Long> grantedUntilMs) {
-    Map<String, String> voters = vms.get();
+    VoterSet known = voters.get();
     List<Map.Entry<String, Long>> latestFirst = new ArrayList<>(grantedUntilMs.entrySet());
     latestFirst.sort(Map.Entry.<String, Long>comparingByValue(Comparator.reverseOrder()));
     Set<String> granting = new HashSet<>();
     for (Map.Entry<String, Long> grant : latestFirst) {
       granting.add(grant.getKey());
-      if (DomainQuorum.canPrevent(voters, granting)) {
+      if (known.canPrevent(granting)) {
         return grant.getValue();
       }
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/ReleaseReply.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/ReleaseReply.java
@@ -8,10 +8,12 @@
  *
  * @param vm the name of the VM
  * @param released true if the VM does not use the primary any more and grants no lease on it
+ * @param voter true if the VM has a seat and knows all leases that were granted from it
  * @param remainingMs how long the leases that it has granted to other VMs are still valid, in
  *     milliseconds, keyed by VM name
  */
-public record ReleaseReply(String vm, boolean released, Map<String, Long> remainingMs) {
+public record ReleaseReply(
+    String vm, boolean released, boolean voter, Map<String, Long> remainingMs) {
   /** Rejects null components and copies the map. */
   public ReleaseReply {
     Objects.requireNonNull(vm, "vm is null");
@@ -25,6 +27,6 @@
    * @return the reply
    */
   public static ReleaseReply refused(String vm) {
-    return new ReleaseReply(vm, false, Map.of());
+    return new ReleaseReply(vm, false, false, Map.of());
   }
 }
