--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -2,8 +2,6 @@
 
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.term.LogPosition;
-import io.lycheejunction.gateway.lease.LeaseContext;
-import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
@@ -36,25 +34,18 @@
   private static final int MAX_ORDERS = 5;
   private static final long PROMOTION_TIMEOUT_MS = 4_000;
 
-  /** The maximum age of the VMs' release of the primary when a promotion is ordered. */
-  private static final long MAX_RELEASE_AGE_MS = 1_500;
-
   private final FailoverContext failover;
   private final String service;
   private final String reason;
   private final Optional<TargetHandle> previousPrimary;
   private final String previousId;
   private final boolean stepDownFirst;
-  private final Supplier<ReleaseReply> ownRelease;
+  private final PrimaryRelease release;
   private final Set<String> rejectedTargetIds = new HashSet<>();
   private final List<Candidate> answeredCandidates = new ArrayList<>();
   private long token;
   private long firstTokenMs = NEVER;
   private long tokenAcquiredMs;
-  private long releasedMs = NEVER;
-  private boolean steppedDown;
-  private boolean releaseDenied;
-  private Optional<ReleaseRound.Result.Released> released = Optional.empty();
   private long startMs;
   private long lastOrderMs;
   private int orders;
@@ -75,7 +66,7 @@
     this.previousPrimary = previousPrimary;
     this.previousId = previousId;
     this.stepDownFirst = stepDownFirst;
-    this.ownRelease = ownRelease;
+    this.release = new PrimaryRelease(failover, service, previousId, ownRelease);
   }
 
   void start() {
@@ -93,7 +84,7 @@
 
   /** Returns whether the run has ended since too few VMs have released the primary. */
   boolean isReleaseDenied() {
-    return releaseDenied;
+    return release.isDenied();
   }
 
   /** Ends the run because the service has a primary. */
@@ -133,54 +124,16 @@
 
   /** Continues once a quorum has released the previous primary. */
   private void releaseThen(Runnable next) {
-    if (steppedDown || !failover.leases().use().needsLease()) {
-      next.run();
-      return;
-    }
-    ReleaseRound.start(
-        failover,
-        service,
-        previousId,
-        ownRelease.get(),
-        result -> {
-          switch (result) {
-            case ReleaseRound.Result.Denied denied -> {
-              releaseDenied = true;
-              failover.leases().voters().refresh();
-              withdraw();
-              end("primary not released by enough VMs");
-            }
-            case ReleaseRound.Result.Released granted -> {
-              released = Optional.of(granted);
-              releasedMs = now();
-              continueRun(next);
-            }
-          }
+    release.request(
+        () -> continueRun(next),
+        () -> {
+          release.withdraw(firstTokenMs != NEVER);
+          end("primary not released by enough VMs");
         });
   }
 
-  /** Continues once no VM uses the previous primary any more. */
   private void awaitUnused(Runnable next) {
-    if (released.isEmpty()) {
-      next.run();
-      return;
-    }
-    long waitMs = Math.max(0, unusedFromMs(released.get()) - now());
-    failover.gate().expectPromotion(service, waitMs);
-    failover.scheduler().schedule(waitMs, () -> continueRun(next));
-  }
-
-  /**
-   * Returns when the primary is unused. A VM that has not released it may rely on a read of the
-   * store from before this process acquired the failover lease, for the duration of its lease.
-   */
-  private long unusedFromMs(ReleaseRound.Result.Released granted) {
-    if (granted.byAll()) {
-      return granted.unusedFromMs();
-    }
-    long storeReadsExpiredMs =
-        firstTokenMs + PrimaryLeases.DURATION_MS + ReleaseRound.CLOCK_MARGIN_MS;
-    return Math.max(granted.unusedFromMs(), storeReadsExpiredMs);
+    release.awaitUnused(firstTokenMs, () -> continueRun(next));
   }
 
   private void continueRun(Runnable next) {
@@ -198,7 +151,9 @@
         STEP_DOWN_TIMEOUT_MS,
         answers -> {
           answers.forEach(answer -> requiredPosition = requiredPosition.max(answer.received()));
-          steppedDown = answers.stream().anyMatch(answer -> !answer.primary());
+          if (answers.stream().anyMatch(answer -> !answer.primary())) {
+            release.onSteppedDown();
+          }
           LOG.info(
               "primary_stepped_down",
               "service",
@@ -313,12 +268,12 @@
     if (ended) {
       return;
     }
-    if (releasedMs != NEVER && now() - releasedMs > MAX_RELEASE_AGE_MS) {
+    if (release.isOutdated()) {
       releaseThen(() -> awaitUnused(() -> orderPromotion(chosen)));
       return;
     }
     if (orders == 0 && answersAgain()) {
-      withdraw();
+      release.withdraw(true);
       end("the primary answers again");
       return;
     }
@@ -423,29 +378,6 @@
             .isPresent();
   }
 
-  /** Tells the other VMs that the primary is not replaced, so that they use it again at once. */
-  private void withdraw() {
-    LeaseContext leases = failover.leases();
-    if (!leases.use().needsLease()) {
-      return;
-    }
-    leases.grants().resume(service, failover.vm());
-    for (String vm : failover.store().liveVms().keySet()) {
-      if (!vm.equals(failover.vm())) {
-        leases.client().resume(vm, service);
-      }
-    }
-    if (firstTokenMs != NEVER) {
-      failover
-          .store()
-          .acquireLease(
-              service,
-              failover.holder(),
-              "",
-              result -> LOG.info("failover_withdrawn", "service", service, "result", result));
-    }
-  }
-
   private long now() {
     return failover.scheduler().nowMs();
   }
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
@@ -0,0 +1,150 @@
+package io.lycheejunction.gateway.failover;
+
+import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.gateway.lease.LeaseContext;
+import io.lycheejunction.gateway.lease.PrimaryLeases;
+import io.lycheejunction.gateway.lease.ReleaseReply;
+import java.util.Objects;
+import java.util.Optional;
+import java.util.function.Supplier;
+
+/**
+ * The release of one primary by the VMs that may use it, which precedes its replacement where a
+ * replaced primary goes on working.
+ */
+final class PrimaryRelease {
+  private static final EventLog LOG = EventLog.of(PrimaryRelease.class);
+
+  /** The maximum age of the VMs' release when a promotion is ordered, in milliseconds. */
+  private static final long MAX_AGE_MS = 1_500;
+
+  private final FailoverContext failover;
+  private final String service;
+  private final String primary;
+  private final Supplier<ReleaseReply> ownRelease;
+  private Optional<ReleaseRound.Result.Released> released = Optional.empty();
+  private long releasedMs;
+  private boolean needed;
+  private boolean denied;
+
+  /**
+   * Creates a release that has not been requested yet.
+   *
+   * @param failover the state and services that failover shares
+   * @param service the service
+   * @param primary the identifier of the primary, or an empty text if none is known
+   * @param ownRelease releases the primary on this VM
+   */
+  PrimaryRelease(
+      FailoverContext failover, String service, String primary, Supplier<ReleaseReply> ownRelease) {
+    this.failover = Objects.requireNonNull(failover, "failover is null");
+    this.service = Objects.requireNonNull(service, "service is null");
+    this.primary = Objects.requireNonNull(primary, "primary is null");
+    this.ownRelease = Objects.requireNonNull(ownRelease, "ownRelease is null");
+    this.needed = failover.leases().use().needsLease();
+  }
+
+  /** Records that the primary has stepped down, so that it need not be released. */
+  void onSteppedDown() {
+    needed = false;
+  }
+
+  /** Returns whether too few VMs have released the primary. */
+  boolean isDenied() {
+    return denied;
+  }
+
+  /** Returns whether the release is too old to order a promotion, so that it is requested again. */
+  boolean isOutdated() {
+    return released.isPresent() && now() - releasedMs > MAX_AGE_MS;
+  }
+
+  /**
+   * Asks all VMs to release the primary, if that is needed.
+   *
+   * @param onReleased runs once a quorum has released it, or if that is not needed
+   * @param onDenied runs if too few VMs have released it
+   */
+  void request(Runnable onReleased, Runnable onDenied) {
+    if (!needed) {
+      onReleased.run();
+      return;
+    }
+    ReleaseRound.start(
+        failover,
+        service,
+        primary,
+        ownRelease.get(),
+        result -> {
+          switch (result) {
+            case ReleaseRound.Result.Denied tooFew -> {
+              denied = true;
+              failover.leases().voters().refresh();
+              onDenied.run();
+            }
+            case ReleaseRound.Result.Released granted -> {
+              released = Optional.of(granted);
+              releasedMs = now();
+              onReleased.run();
+            }
+          }
+        });
+  }
+
+  /**
+   * Waits until no VM uses the primary any more.
+   *
+   * <p>A VM that has not released it may rely on a read of the store from before the failover lease
+   * was acquired, for the duration of its lease on the primary.
+   *
+   * @param failoverLeaseMs the time at which this process first acquired the failover lease
+   * @param next runs when the primary is unused
+   */
+  void awaitUnused(long failoverLeaseMs, Runnable next) {
+    if (released.isEmpty()) {
+      next.run();
+      return;
+    }
+    long unusedFromMs = released.get().unusedFromMs();
+    if (!released.get().byAll()) {
+      unusedFromMs =
+          Math.max(
+              unusedFromMs,
+              failoverLeaseMs + PrimaryLeases.DURATION_MS + ReleaseRound.CLOCK_MARGIN_MS);
+    }
+    long waitMs = Math.max(0, unusedFromMs - now());
+    failover.gate().expectPromotion(service, waitMs);
+    failover.scheduler().schedule(waitMs, next);
+  }
+
+  /**
+   * Tells the other VMs that the primary is not replaced, so that they use it again at once.
+   *
+   * @param leaseAcquired true if the failover lease names the primary as being replaced
+   */
+  void withdraw(boolean leaseAcquired) {
+    LeaseContext leases = failover.leases();
+    if (!leases.use().needsLease()) {
+      return;
+    }
+    leases.grants().resume(service, failover.vm());
+    for (String vm : failover.store().liveVms().keySet()) {
+      if (!vm.equals(failover.vm())) {
+        leases.client().resume(vm, service);
+      }
+    }
+    if (leaseAcquired) {
+      failover
+          .store()
+          .acquireLease(
+              service,
+              failover.holder(),
+              "",
+              result -> LOG.info("failover_withdrawn", "service", service, "result", result));
+    }
+  }
+
+  private long now() {
+    return failover.scheduler().nowMs();
+  }
+}
