Count the time as a holder from its start, before a VM relies on the store

A VM that became a holder long after its process had started relied on the store at once, while others may not have read that it is one, so that a promotion would not wait for it. The test of this rule now starts the renewal long after the process.

--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -33,6 +33,7 @@
   static final long KNOWN_TO_ALL_AFTER_MS = 10_000;
 
   private static final long GRANTED = Long.MAX_VALUE;
+  private static final long NOT_STARTED = Long.MAX_VALUE;
 
   /** The primaries that this VM knows, and what it does when it learns more. */
   public interface Primaries {
@@ -63,7 +64,7 @@
   private final PrimaryLeases leases;
   private final Primaries primaries;
   private final Set<String> inFlight = new HashSet<>();
-  private final long knownToAllFromMs;
+  private long knownToAllFromMs = NOT_STARTED;
   private long ungrantedSinceMs = GRANTED;
   private long lastStoreReadMs = Long.MIN_VALUE / 2;
   private boolean readingStore;
@@ -94,11 +95,15 @@
     this.replaced = Objects.requireNonNull(replaced, "replaced is null");
     this.leases = Objects.requireNonNull(leases, "leases is null");
     this.primaries = Objects.requireNonNull(primaries, "primaries is null");
-    this.knownToAllFromMs = scheduler.nowMs() + KNOWN_TO_ALL_AFTER_MS;
   }
 
-  /** Renews the leases now and then at regular intervals. */
+  /** Renews the leases now and then at regular intervals, from when this VM is a holder. */
   public void start() {
+    knownToAllFromMs = scheduler.nowMs() + KNOWN_TO_ALL_AFTER_MS;
+    renewRepeatedly();
+  }
+
+  private void renewRepeatedly() {
     boolean granted = true;
     try {
       renew();
@@ -109,7 +114,7 @@
         readStoreIfDue();
       }
     } finally {
-      scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::start);
+      scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::renewRepeatedly);
     }
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -88,10 +88,12 @@
     public void onRenewed() {}
   }
 
+  private final LeaseRenewal renewal =
+      new LeaseRenewal(
+          "vm-b", new Voters(), scheduler, new Client(), this::readStore, leases, new Primaries());
+
   private void start() {
-    new LeaseRenewal(
-            "vm-b", new Voters(), scheduler, new Client(), this::readStore, leases, new Primaries())
-        .start();
+    renewal.start();
   }
 
   private void readStore(Consumer<Optional<Map<String, String>>> done) {
@@ -172,6 +174,7 @@
   @Test
   void shouldNotRelyOnTheStoreWhenThisVmHasJustBecomeHolder() {
     replaced = Optional.of(Map.of());
+    scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
     start();
 
     scheduler.advanceMs(LeaseRenewal.KNOWN_TO_ALL_AFTER_MS - 1);
