Request leases on primaries only while primaries are watched

A VM whose role is not decided yet starts to follow targets; those that then forward statements went on to request leases, and the promotion waited for these although all holders had released the primary.

Change: a VM that watches no primary requests no leases. Test in LeaseRenewalTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -153,8 +153,14 @@
     }
   }
 
-  /** Renews the leases now, except with VMs whose answers are pending. */
+  /**
+   * Renews the leases now, except with VMs whose answers are pending. A VM that watches no primary,
+   * as it forwards statements, requests none, since a promotion would wait for its leases.
+   */
   public void renew() {
+    if (primaries.known().isEmpty()) {
+      return;
+    }
     grantToSelf();
     for (String peer : voters.voters().groupByVm().keySet()) {
       if (!peer.equals(vm) && inFlight.add(peer)) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -27,6 +27,7 @@
   private Optional<Map<String, String>> replaced = Optional.empty();
   private KnownPrimary own = primary("i-1", true);
   private boolean voter = true;
+  private boolean forwards;
   private int requests;
   private int storeReads;
 
@@ -76,7 +77,7 @@
   private final class Primaries implements LeaseRenewal.Primaries {
     @Override
     public List<KnownPrimary> known() {
-      return List.of(own);
+      return forwards ? List.of() : List.of(own);
     }
 
     @Override
@@ -206,4 +207,20 @@
 
     assertFalse(isHeld());
   }
+
+  /**
+   * Guards against a longer failover where nothing is cut: a VM that was a holder for a moment went
+   * on to request leases, and promotions waited for them although all holders had released.
+   */
+  @Test
+  void shouldRequestNoLeasesWhenItForwards() {
+    start();
+    scheduler.advanceMs(1_000);
+    forwards = true;
+    requests = 0;
+
+    scheduler.advanceMs(5_000);
+
+    assertEquals(0, requests);
+  }
 }
