Check the failover lease again when it is acquired

Since VMs are asked to release the primary before the lease is acquired, another process may acquire it in between; its row was then read and taken over.

Change: a run ends if another process holds the lease at that moment. Test in PrimaryReleaseTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -97,7 +97,18 @@
     }
   }
 
+  /** Another process may have acquired the lease since the run was started. */
   private void acquireLease(Runnable next) {
+    boolean heldByOther =
+        failover
+            .store()
+            .lease(service)
+            .filter(lease -> lease.isHeld(now()) && !lease.holder().equals(failover.holder()))
+            .isPresent();
+    if (heldByOther) {
+      end("no lease: another process holds the lease");
+      return;
+    }
     failover
         .store()
         .acquireLease(
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -98,6 +98,7 @@
   static final class FakeLeaseClient implements LeaseClient {
     final Map<String, ReleaseReply> releases = new HashMap<>();
     final List<String> askedToRelease = new ArrayList<>();
+    Runnable onRelease = () -> {};
     final List<String> toldToResume = new ArrayList<>();
 
     @Override
@@ -114,6 +115,7 @@
     public void release(
         String vm, String service, String primary, Consumer<PeerAnswer<ReleaseReply>> done) {
       askedToRelease.add(vm);
+      onRelease.run();
       ReleaseReply reply = releases.get(vm);
       done.accept(reply == null ? new PeerAnswer.Silent<>() : new PeerAnswer.Replied<>(reply));
     }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -16,6 +16,7 @@
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.junit.jupiter.api.Test;
 
@@ -285,4 +286,23 @@
 
     assertTrue(fixture.orders.isEmpty());
   }
+
+  /**
+   * Guards against two processes that order promotions in turn: while VMs are asked to release the
+   * primary, another process acquires the failover lease.
+   */
+  @Test
+  void shouldNotTakeTheLeaseThatAnotherProcessHasAcquiredMeanwhile() {
+    releases("vm-a", Map.of());
+    releases("vm-c", Map.of());
+    fixture.leaseClient.onRelease =
+        () ->
+            fixture.store.lease =
+                Optional.of(new Lease("vm-a-1", "i-1", 28, fixture.group.scheduler.nowMs()));
+
+    startRun();
+
+    assertFalse(fixture.store.hasLease());
+    assertTrue(fixture.orders.isEmpty());
+  }
 }
