--- a/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
@@ -7,16 +7,18 @@
  * One version of the configuration.
  *
  * @param version the version; a higher one replaces a lower one
+ * @param revision the revision of the store in which it was written, for log lines
  * @param routes the routes, keyed by database name
  * @param services the limits, keyed by service
  * @param idleTransactionMs the idle timeout of transactions, in milliseconds; 0 disables it
  */
 public record RouteTable(
     long version,
+    long revision,
     Map<String, Route> routes,
     Map<String, ServiceLimits> services,
     long idleTransactionMs) {
-  private static final RouteTable EMPTY = new RouteTable(-1, Map.of(), Map.of(), 0);
+  private static final RouteTable EMPTY = new RouteTable(-1, -1, Map.of(), Map.of(), 0);
 
   /** Copies the maps. */
   public RouteTable {
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -141,6 +141,7 @@
    */
   public boolean apply(RouteTable table) {
     if (table.version() <= routes.version()) {
+      logIgnored(table);
       return false;
     }
     LOG.info(
@@ -149,6 +150,10 @@
         table.version(),
         "before",
         routes.version(),
+        "revision",
+        table.revision(),
+        "revision_before",
+        routes.revision(),
         "routes",
         table.routes().size());
     routes = table;
@@ -157,6 +162,23 @@
     return true;
   }
 
+  /** Logs that a configuration is not applied, unless it is the current one, read again. */
+  private void logIgnored(RouteTable table) {
+    if (table.equals(routes)) {
+      return;
+    }
+    LOG.warn(
+        "configuration_ignored",
+        "version",
+        table.version(),
+        "current",
+        routes.version(),
+        "revision",
+        table.revision(),
+        "revision_current",
+        routes.revision());
+  }
+
   /**
    * Returns the current configuration.
    *
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/ForwardingTest.java
@@ -51,7 +51,7 @@
     HolderTargets.update(
         fixture.holders,
         List.of(holder("vm-near", "domain-i-2"), holder("vm-far", "domain-i-1")),
-        new RouteTable(1, Map.of("db", ROUTE), Map.of(), 0));
+        new RouteTable(1, 1, Map.of("db", ROUTE), Map.of(), 0));
     fixture.role.forward();
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
@@ -35,7 +35,7 @@
   private static RouteTable table(long version, String database) {
     Route route =
         new Route(database, "ledger", new ReadRule.Latest(), DispatchFixture.TIMEOUT_MS, 200, 1);
-    return new RouteTable(version, Map.of(database, route), Map.of(), IDLE_TRANSACTION_MS);
+    return new RouteTable(version, version, Map.of(database, route), Map.of(), IDLE_TRANSACTION_MS);
   }
 
   private static CallerStatement write() {
