Apply a configuration version that was lost and written again with other content

A restore of the store may lose a configuration that VMs have read. If its version was then written with other content, VMs that had read the lost one kept it, and VMs that started later used the other one, for as long as the version stayed the newest.

Cause: Gateway compared versions alone. Fix: RouteTable.replaces, in which the row that was written later wins among equal versions, by the store's revision, which rises over restores. A lower version still never replaces a higher one.

--- a/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
@@ -7,7 +7,7 @@
  * One version of the configuration.
  *
  * @param version the version; a higher one replaces a lower one
- * @param revision the revision of the store in which it was written, for log lines
+ * @param revision the revision of the store in which it was written
  * @param routes the routes, keyed by database name
  * @param services the limits, keyed by service
  * @param idleTransactionMs the idle timeout of transactions, in milliseconds; 0 disables it
@@ -44,6 +44,39 @@
     return version < 0;
   }
 
+  /**
+   * Returns whether this configuration takes the place of another one.
+   *
+   * <p>A lower version never does, also if it was written later. Of equal versions with different
+   * content, the one that was written later does: a restore of the store may lose a version, which
+   * is then written again with other content.
+   *
+   * @param current the other configuration
+   * @return true if this one is newer
+   */
+  public boolean replaces(RouteTable current) {
+    if (version != current.version) {
+      return version > current.version;
+    }
+    return revision > current.revision && !hasContentOf(current);
+  }
+
+  /**
+   * Returns whether another configuration has the same version and content, wherever it was read.
+   *
+   * @param other the other configuration
+   * @return true if the two differ in nothing but the revision
+   */
+  public boolean isSameAs(RouteTable other) {
+    return version == other.version && hasContentOf(other);
+  }
+
+  private boolean hasContentOf(RouteTable other) {
+    return routes.equals(other.routes)
+        && services.equals(other.services)
+        && idleTransactionMs == other.idleTransactionMs;
+  }
+
   /**
    * Returns the route of a database.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -134,13 +134,13 @@
   }
 
   /**
-   * Applies a configuration unless its version is not newer than the current one.
+   * Applies a configuration unless the current one is newer.
    *
    * @param table the configuration
    * @return true if it was applied
    */
   public boolean apply(RouteTable table) {
-    if (table.version() <= routes.version()) {
+    if (!table.replaces(routes)) {
       logIgnored(table);
       return false;
     }
@@ -164,7 +164,7 @@
 
   /** Logs that a configuration is not applied, unless it is the current one, read again. */
   private void logIgnored(RouteTable table) {
-    if (table.equals(routes)) {
+    if (table.isSameAs(routes)) {
       return;
     }
     LOG.warn(
