Close idle connections to a target with a transaction's statement that was not answered

After a single statement or a BEGIN without an answer the idle connections to the target are closed; after a statement within a transaction they were not, so that the next callers waited for them until their time limit.

Evidence: the new test of TransactionTest fails without the change (the idle connection stays open) and passes with it.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -325,9 +325,11 @@
     PooledLink used = link;
     link = null;
     if (used != null) {
-      used.abandon(
+      Fault cause =
           Fault.of(
-              ResultCode.STATEMENT_TIMEOUT, "time limit of a statement in a transaction exceeded"));
+              ResultCode.STATEMENT_TIMEOUT, "time limit of a statement in a transaction exceeded");
+      used.abandon(cause);
+      target.pool().closeAllIdle(cause);
     }
     if (!sentBefore) {
       fail(
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/TransactionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/TransactionTest.java
@@ -106,6 +106,26 @@
     assertEquals(1, fixture.links.opened().size());
   }
 
+  /**
+   * Connections go silent several at once. After a statement of a transaction was not answered, the
+   * next statements waited for the other silent connections until their time limit.
+   */
+  @Test
+  void shouldCloseIdleConnectionsWhenStatementIsNotAnswered() {
+    Transaction transaction = newTransaction(LATEST, false);
+    openWithWrite(transaction);
+    fixture.run(LATEST, DispatchFixture.write());
+    FakeLink idle = fixture.links.last("i-1").greet();
+    idle.done(TransactionState.NONE, 1, 6);
+    assertFalse(idle.isClosed());
+
+    RecordedOutcome outcome = run(transaction, DispatchFixture.read());
+    fixture.scheduler.advanceMs(DispatchFixture.TIMEOUT_MS);
+
+    assertEquals(ResultCode.STATEMENT_TIMEOUT, outcome.fault().code());
+    assertTrue(idle.isClosed());
+  }
+
   @Test
   void shouldRollBackAndKeepConnectionWhenCallerDisconnectsBetweenStatements() {
     Transaction transaction = newTransaction(LATEST, false);
