Split the statements that only change the session state from CallerSession

LocalResult decides them without a session; the two ways to look up a prepared statement are one. No behaviour changes.

--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -19,6 +19,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.BiConsumer;
 
 /** A caller's session: its session variables, prepared statements and transaction. */
 public final class CallerSession {
@@ -161,7 +162,7 @@
       case CallerStatement.Begin begin -> begin(query, begin);
       case CallerStatement.Read read -> runSingle(query, Optional.empty());
       case CallerStatement.Write write -> runSingle(query, Optional.empty());
-      case CallerStatement.Execute execute -> runPreparedSingle(query, execute);
+      case CallerStatement.Execute execute -> runPrepared(query, execute, this::runSingle);
       case CallerStatement.Commit commit -> refuse(notInTransaction());
       case CallerStatement.Rollback rollback -> refuse(notInTransaction());
       default -> handleLocally(query.statement());
@@ -183,7 +184,7 @@
       case CallerStatement.Read read -> runInTransaction(query, Optional.empty());
       case CallerStatement.Write write -> runInTransaction(query, Optional.empty());
       case CallerStatement.Commit commit -> runInTransaction(query, Optional.empty());
-      case CallerStatement.Execute execute -> runPreparedInTransaction(query, execute);
+      case CallerStatement.Execute execute -> runPrepared(query, execute, this::runInTransaction);
       case CallerStatement.Begin begin ->
           refuse(Fault.of(ResultCode.BAD_STATEMENT, "a transaction is open already"));
       default -> handleLocally(statement);
@@ -205,29 +206,13 @@
   }
 
   private void handleLocally(CallerStatement statement) {
-    switch (statement) {
-      case CallerStatement.SetVariable set -> {
-        state = state.withVariable(set.name(), set.value());
-        answerEmpty();
-      }
-      case CallerStatement.Prepare prepare -> {
-        state = state.withPrepared(prepare.name(), prepare.statement());
+    switch (LocalResult.of(state, statement)) {
+      case LocalResult.Changed changed -> {
+        state = changed.state();
         answerEmpty();
       }
-      case CallerStatement.Deallocate deallocate -> deallocate(deallocate.name());
-      case CallerStatement.Invalid invalid ->
-          refuse(Fault.of(ResultCode.BAD_STATEMENT, invalid.reason()));
-      default -> refuse(Fault.of(ResultCode.BAD_STATEMENT, "the statement is not allowed here"));
-    }
-  }
-
-  private void deallocate(String name) {
-    if (state.preparedStatement(name).isEmpty()) {
-      refuse(unknownPrepared(name));
-      return;
+      case LocalResult.Refused refused -> refuse(refused.fault());
     }
-    state = state.withoutPrepared(name);
-    answerEmpty();
   }
 
   private void begin(Query query, CallerStatement.Begin begin) {
@@ -255,13 +240,16 @@
         : Fault.of(ResultCode.SHUTTING_DOWN, "this VM takes no new work");
   }
 
-  private void runPreparedSingle(Query query, CallerStatement.Execute execute) {
+  private void runPrepared(
+      Query query,
+      CallerStatement.Execute execute,
+      BiConsumer<Query, Optional<PreparedStatement>> run) {
     Optional<PreparedStatement> preparedStatement = state.preparedStatement(execute.name());
     if (preparedStatement.isEmpty()) {
-      refuse(unknownPrepared(execute.name()));
+      refuse(LocalResult.unknownPrepared(execute.name()));
       return;
     }
-    runSingle(query, preparedStatement);
+    run.accept(query, preparedStatement);
   }
 
   private void runSingle(Query query, Optional<PreparedStatement> preparedStatement) {
@@ -282,15 +270,6 @@
     running.start();
   }
 
-  private void runPreparedInTransaction(Query query, CallerStatement.Execute execute) {
-    Optional<PreparedStatement> preparedStatement = state.preparedStatement(execute.name());
-    if (preparedStatement.isEmpty()) {
-      refuse(unknownPrepared(execute.name()));
-      return;
-    }
-    runInTransaction(query, preparedStatement);
-  }
-
   private void runInTransaction(Query query, Optional<PreparedStatement> preparedStatement) {
     StatementRequest request =
         new StatementRequest(
@@ -362,10 +341,6 @@
     return Fault.of(ResultCode.BAD_STATEMENT, "no transaction is open");
   }
 
-  private static Fault unknownPrepared(String name) {
-    return Fault.of(ResultCode.UNKNOWN_PREPARED, "no prepared statement " + name);
-  }
-
   private final class SingleCompletion implements Completion {
     private final StatementRequest request;
 
