Wait for readers of the store when a VM's view of the holders may be too old

What callers would see: two primaries in use for up to a second, hence acknowledged writes that are lost (only where a replaced primary goes on). A VM relies on the store once it has been a holder for 10 s, "by then all other holders have read that it is one". Evidence: PrimaryReleaseTest.shouldWaitForReadsOfTheStoreWhenItMayNotKnowAllHolders failed before: the promotion was ordered after 20 ms. Fix: a replacement treats the holders as all of them only if they were read within those 10 s before its lease; otherwise it waits for the duration of a lease on the primary, as it does for a holder that has not answered.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.gateway.lease.LeaseContext;
+import io.lycheejunction.gateway.lease.LeaseRenewal;
 import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import java.util.Objects;
@@ -94,8 +95,9 @@
   /**
    * Waits until no VM uses the primary any more.
    *
-   * <p>A VM that has not released it may rely on a read of the store from before the failover lease
-   * was acquired, for the duration of its lease on the primary.
+   * <p>A VM that has not released it, or that this VM does not know as a holder, may rely on a read
+   * of the store from before the failover lease was acquired, for the duration of its lease on the
+   * primary.
    *
    * @param failoverLeaseMs the time at which this process first acquired the failover lease
    * @param next runs when the primary is unused
@@ -106,7 +108,7 @@
       return;
     }
     long unusedFromMs = released.get().unusedFromMs();
-    if (!released.get().byAll()) {
+    if (!released.get().byAll() || !knowsAllHolders(released.get(), failoverLeaseMs)) {
       unusedFromMs =
           Math.max(
               unusedFromMs,
@@ -117,6 +119,17 @@
     failover.scheduler().schedule(waitMs, next);
   }
 
+  /**
+   * Returns whether the holders were read so recently that they include each VM that may have
+   * relied on the store before the failover lease was acquired. A VM does so only once it has been
+   * a holder for some time.
+   */
+  private static boolean knowsAllHolders(
+      ReleaseRound.Result.Released released, long failoverLeaseMs) {
+    long ageMs = failoverLeaseMs - released.holdersAsOfMs();
+    return ageMs + ReleaseRound.CLOCK_MARGIN_MS < LeaseRenewal.KNOWN_TO_ALL_AFTER_MS;
+  }
+
   /**
    * Tells the other VMs that the primary is not replaced, so that they use it again at once.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
@@ -32,9 +32,11 @@
      * A quorum has released the primary.
      *
      * @param unusedFromMs the time from which no VM holds a granted lease, in milliseconds
-     * @param byAll true if all holders have released the primary
+     * @param byAll true if all holders that this VM knows have released the primary
+     * @param holdersAsOfMs the time at which this VM requested those holders from the store, in
+     *     milliseconds
      */
-    record Released(long unusedFromMs, boolean byAll) implements Result {}
+    record Released(long unusedFromMs, boolean byAll, long holdersAsOfMs) implements Result {}
 
     /**
      * Too few voters have released the primary.
@@ -49,6 +51,7 @@
   private final String primary;
   private final VoterSet voters;
   private final Set<String> holders;
+  private final long holdersAsOfMs;
   private final Consumer<Result> done;
   private final List<ReleaseReply> replies = new ArrayList<>();
   private int pending;
@@ -62,6 +65,7 @@
     this.holders = new HashSet<>(failover.store().liveVms().keySet());
     this.holders.addAll(voters.groupByVm().keySet());
     this.holders.add(failover.vm());
+    this.holdersAsOfMs = failover.scheduler().nowMs() - failover.leases().voters().ageMs();
     this.done = done;
   }
 
@@ -116,7 +120,8 @@
     }
     Result result =
         voters.decides(agreeing)
-            ? new Result.Released(unusedFromMs(released), released.containsAll(holders))
+            ? new Result.Released(
+                unusedFromMs(released), released.containsAll(holders), holdersAsOfMs)
             : new Result.Denied(agreeing.size());
     LOG.info(
         "primary_released",
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -27,10 +27,11 @@
   static final long READ_STORE_INTERVAL_MS = 400;
 
   /**
-   * How long this VM has to be a holder before it relies on the store, in milliseconds. By then all
-   * other holders have read that it is one, so that they wait for its leases.
+   * How long this VM has to be a holder before it relies on the store, in milliseconds. Whoever has
+   * read the holders within that time knows that it is one and waits for its leases; whoever has
+   * not waits without knowing.
    */
-  static final long KNOWN_TO_ALL_AFTER_MS = 10_000;
+  public static final long KNOWN_TO_ALL_AFTER_MS = 10_000;
 
   private static final long GRANTED = Long.MAX_VALUE;
   private static final long NOT_STARTED = Long.MAX_VALUE;
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseVoters.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseVoters.java
@@ -19,6 +19,13 @@
    */
   OptionalLong seatAgeMs();
 
+  /**
+   * Returns how old this VM's knowledge of the voters and the other holders is.
+   *
+   * @return the time since they were requested from the store, in milliseconds
+   */
+  long ageMs();
+
   /** Updates the known voters soon, since those that are known do not suffice for a decision. */
   void refresh();
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -124,6 +124,7 @@
   /** The three VMs of the fixture. */
   static final class FakeVoters implements LeaseVoters {
     OptionalLong seatAgeMs = OptionalLong.of(PrimaryLeases.DURATION_MS);
+    long ageMs;
     int refreshes;
 
     @Override
@@ -136,6 +137,11 @@
       return seatAgeMs;
     }
 
+    @Override
+    public long ageMs() {
+      return ageMs;
+    }
+
     @Override
     public void refresh() {
       refreshes++;
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -28,6 +28,7 @@
   private static final String SERVICE = TestTargets.SERVICE;
   private static final long OTHER_LEASE_MS = PrimaryLeases.DURATION_MS + 100;
   private static final long MAX_WAIT_MS = 3_000;
+  private static final long HOLDERS_OUTDATED_MS = 10_200;
   private static final long STEP_MS = 10;
   private static final Map<String, String> VMS =
       Map.of("vm-a", "domain-i-1", "vm-b", "domain-i-2", "vm-c", "domain-i-3");
@@ -114,6 +115,23 @@
     assertTrue(waitedMs > PrimaryLeases.DURATION_MS, "waited " + waitedMs);
   }
 
+  /**
+   * Guards against two primaries in use: this VM's read of the holders is so old that it may not
+   * know one which has come to rely on the store. The connection of the next read had gone silent.
+   */
+  @Test
+  void shouldWaitForReadsOfTheStoreWhenItMayNotKnowAllHolders() {
+    releases("vm-a", Map.of());
+    releases("vm-c", Map.of());
+    fixture.voters.ageMs = HOLDERS_OUTDATED_MS;
+
+    startRun();
+    final long waitedMs = answerStatusesUntilOrdered();
+
+    assertEquals(1, fixture.orders.size());
+    assertTrue(waitedMs > PrimaryLeases.DURATION_MS, "waited " + waitedMs);
+  }
+
   /** Guards against a minority that replaces the primary of a majority. */
   @Test
   void shouldNotOrderWhenTooFewVmsReleaseThePrimary() {
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -70,6 +70,11 @@
       return voter ? OptionalLong.of(0) : OptionalLong.empty();
     }
 
+    @Override
+    public long ageMs() {
+      return 0;
+    }
+
     @Override
     public void refresh() {}
   }
