Rely on the store only once other VMs know again that this VM is a holder

Cause: the time from which a VM relies on the store was set once, when it first became a holder. One that gave up its slot and claimed one again relied on the store at once, although the other VMs didn't know it as a holder yet. Evidence: LeaseRenewalTest.shouldNotRelyOnTheStoreWhenThisVmHasJustBecomeHolderAgain failed before (lease held). Fix: the time starts anew while this VM watches no primary, which is so while it forwards.

--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -107,6 +107,9 @@
   private void renewRepeatedly() {
     boolean granted = true;
     try {
+      if (primaries.known().isEmpty()) {
+        knownToAllFromMs = scheduler.nowMs() + KNOWN_TO_ALL_AFTER_MS;
+      }
       renew();
       granted = isGrantedByVms();
       if (granted) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -189,6 +189,24 @@
     assertEquals(0, storeReads);
   }
 
+  /**
+   * A VM that had given up its slot for a while relied on the store at once when it held a slot
+   * again, although no other VM waited for its leases.
+   */
+  @Test
+  void shouldNotRelyOnTheStoreWhenThisVmHasJustBecomeHolderAgain() {
+    replaced = Optional.of(Map.of());
+    start();
+    forwards = true;
+    scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
+    forwards = false;
+
+    scheduler.advanceMs(LeaseRenewal.KNOWN_TO_ALL_AFTER_MS - LeaseRenewal.INTERVAL_MS);
+
+    assertFalse(isHeld());
+    assertEquals(0, storeReads);
+  }
+
   /** Guards against the use of a primary whose replacement has begun, as the store tells. */
   @Test
   void shouldNotRelyOnTheStoreWhenThePrimaryIsBeingReplaced() {
