--- a/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
@@ -77,6 +77,15 @@
         && idleTransactionMs == other.idleTransactionMs;
   }
 
+  /**
+   * Returns the longest time limit of one statement on any route.
+   *
+   * @return the time limit, in milliseconds, or 0 if there are no routes
+   */
+  public long longestStatementTimeoutMs() {
+    return routes.values().stream().mapToLong(Route::statementTimeoutMs).max().orElse(0);
+  }
+
   /**
    * Returns the route of a database.
    *
--- a/gateway/src/test/java/io/lycheejunction/gateway/route/RouteTableTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/route/RouteTableTest.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.gateway.route;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -34,6 +35,17 @@
     assertFalse(table(2, 5, "orders").replaces(table(2, 9, "added")));
   }
 
+  @Test
+  void shouldFindTheLongestStatementTimeoutWhenRoutesDiffer() {
+    Route shorter = new Route("orders", "ledger", new ReadRule.Latest(), 1_000, 200, 1);
+    Route longer = new Route("board", "ledger", new ReadRule.Latest(), 3_000, 200, 1);
+    RouteTable routes =
+        new RouteTable(1, 1, Map.of("orders", shorter, "board", longer), Map.of(), 0);
+
+    assertEquals(3_000, routes.longestStatementTimeoutMs());
+    assertEquals(0, RouteTable.empty().longestStatementTimeoutMs());
+  }
+
   @Test
   void shouldNotReplaceWhenTheSameVersionWasWrittenAgainUnchanged() {
     assertFalse(table(2, 9, "orders").replaces(table(2, 5, "orders")));
