Let a promotion wait for leases whose holder was suspended too shortly to notice

What callers would see: two primaries in use for up to 40 ms, hence acknowledged writes that are lost (only where a replaced primary goes on). Evidence: PrimaryReleaseTest.shouldOrderOnlyAfterLeasesOfBrieflySuspendedVmsHaveExpired failed before (waited 1,130 ms for leases of 1,100). Fix: the margin contains the tolerance.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.common.log.EventLog;
+import io.lycheejunction.core.clock.SuspensionCheck;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.lease.VoterSet;
 import io.lycheejunction.gateway.peer.PeerAnswer;
@@ -20,8 +21,14 @@
  * granted one by a member of the quorum, which reports how long it remains valid.
  */
 final class ReleaseRound {
-  /** Added to the remaining time of leases, since clock rates differ between VMs. */
-  static final long CLOCK_MARGIN_MS = 20;
+  /** By how much clock rates may let two VMs differ over the duration of a lease. */
+  private static final long CLOCK_RATE_MARGIN_MS = 20;
+
+  /**
+   * Added to the remaining time of leases: the clock of their holder may lack the time of a
+   * suspension that is too short to be noticed, and clock rates differ between VMs.
+   */
+  static final long CLOCK_MARGIN_MS = SuspensionCheck.TOLERANCE_MS + CLOCK_RATE_MARGIN_MS;
 
   private static final EventLog LOG = EventLog.of(ReleaseRound.class);
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.lycheejunction.core.clock.SuspensionCheck;
 import io.lycheejunction.gateway.lease.KnownPrimary;
 import io.lycheejunction.gateway.lease.LeaseGrants;
 import io.lycheejunction.gateway.lease.LeaseReply;
@@ -103,6 +104,20 @@
     assertTrue(waitedMs > OTHER_LEASE_MS, "waited " + waitedMs);
   }
 
+  /**
+   * Guards against two primaries in use: the holder of a lease was suspended so shortly that it
+   * does not notice, and its clock lacks that time.
+   */
+  @Test
+  void shouldOrderOnlyAfterLeasesOfBrieflySuspendedVmsHaveExpired() {
+    releases("vm-c", Map.of("vm-a", OTHER_LEASE_MS));
+
+    startRun();
+    final long waitedMs = answerStatusesUntilOrdered();
+
+    assertTrue(waitedMs > OTHER_LEASE_MS + SuspensionCheck.TOLERANCE_MS, "waited " + waitedMs);
+  }
+
   /** A VM may also rely on a read of the store from just before the failover lease was taken. */
   @Test
   void shouldWaitForReadsOfTheStoreWhenSilentVmHasNoGrantedLease() {
