Ask other VMs for their votes when this VM's own vote is not read back from the store

Cause: VMs ask each other for missing votes only once the votes that they know might be enough. Their own vote was among those only when it had come back through the feed of votes, which had gone silent and may lag for 12 s, as VMs would ask each other. PrimaryWatchTest.shouldAskOtherVmsAndReplaceThePrimaryWhenNoVotesAreReadFromTheStore failed before (no lease within 500 ms). Fix: after 200 ms a VM counts its own vote without the store. Until then nothing changes, so that no more requests are sent where votes arrive as usual.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -9,9 +9,21 @@
 
 /** The votes of VMs on whether a service's primary is gone, from the store and from peers. */
 final class PrimaryVotes {
+  /**
+   * How long this VM's own vote may take through the store before it counts without it, in
+   * milliseconds. The votes of others usually arrive in that time too, and need not be asked for.
+   */
+  private static final long OWN_VOTE_WAIT_MS = 200;
+
+  /** The pause between two decisions after which the later one is the first of a new outage. */
+  private static final long NEW_OUTAGE_AFTER_MS = 1_000;
+
   private final FailoverContext failover;
   private final String service;
   private final PeerVotes peerVotes;
+  private String primaryInQuestion = "";
+  private long inQuestionSinceMs;
+  private long lastDecisionMs;
 
   PrimaryVotes(FailoverContext failover, String service) {
     this.failover = failover;
@@ -20,13 +32,14 @@
   }
 
   /**
-   * Returns whether a primary counts as gone. VMs that have not voted are asked first if the votes
-   * of the others would be enough.
+   * Returns whether a primary that this VM considers gone counts as gone. VMs that have not voted
+   * are asked first if the votes of the others would be enough.
    *
    * @param primary the identifier of the primary
    * @return granted, denied, or open while answers of VMs are pending
    */
   PreVote.Outcome decide(String primary) {
+    recordDecision(primary);
     Map<String, String> vms = knownVms(primary);
     List<Vote> votes = votesOn(primary);
     Set<String> notVoted = new HashSet<>(vms.keySet());
@@ -42,6 +55,15 @@
     return outcome;
   }
 
+  private void recordDecision(String primary) {
+    long nowMs = failover.scheduler().nowMs();
+    if (!primary.equals(primaryInQuestion) || nowMs - lastDecisionMs > NEW_OUTAGE_AFTER_MS) {
+      primaryInQuestion = primary;
+      inQuestionSinceMs = nowMs;
+    }
+    lastDecisionMs = nowMs;
+  }
+
   /** Returns whether another VM has reported that a primary is gone. */
   boolean isReportedGoneByOthers(String primary) {
     return failover.store().votes(service).stream()
@@ -68,6 +90,10 @@
     Map<String, Vote> byVm = new HashMap<>();
     failover.store().votes(service).forEach(vote -> byVm.put(vote.vm(), vote));
     peerVotes.votes().forEach(vote -> byVm.put(vote.vm(), vote));
+    if (failover.scheduler().nowMs() - inQuestionSinceMs >= OWN_VOTE_WAIT_MS) {
+      Vote own = new Vote(failover.vm(), failover.failureDomain(), primary, true);
+      byVm.put(own.vm(), own);
+    }
     return byVm.values().stream().filter(vote -> vote.primary().equals(primary)).toList();
   }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -40,6 +40,10 @@
     boolean reachable = true;
     boolean leaseTaken;
     boolean failNextRead;
+
+    /** Whether votes are written, but none is read, since the connection has gone silent. */
+    boolean feedSilent;
+
     long oldestCurrentToken;
     long nextToken = FIRST_TOKEN;
 
@@ -61,7 +65,7 @@
         failNextRead = false;
         throw new IllegalStateException("unexpected");
       }
-      return votes;
+      return feedSilent ? List.of() : votes;
     }
 
     @Override
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryWatchTest.java
@@ -50,6 +50,34 @@
     assertEquals(10, fixture.orders.getFirst().token());
   }
 
+  /**
+   * Connections to the store had gone silent as the primary crashed, so that no votes were read for
+   * seconds. This VM's own vote was not read either, and without it the others were not asked.
+   */
+  @Test
+  void shouldAskOtherVmsAndReplaceThePrimaryWhenNoVotesAreReadFromTheStore() {
+    fixture.store.feedSilent = true;
+    fixture.answers.put(
+        "vm-a", new PeerAnswer.Replied<>(new Vote("vm-a", "domain-i-1", "i-1", true)));
+    fixture.answers.put(
+        "vm-c", new PeerAnswer.Replied<>(new Vote("vm-c", "domain-i-3", "i-1", true)));
+    fixture.crashPrimary();
+
+    checkFor(500);
+
+    assertTrue(fixture.store.hasLease());
+  }
+
+  /** Guards against more requests and other decisions where the votes are read as usual. */
+  @Test
+  void shouldNotAskOtherVmsAtOnceWhenItsOwnVoteWasNotReadYet() {
+    fixture.store.feedSilent = true;
+
+    fixture.crashPrimary();
+
+    assertTrue(fixture.askedVms.isEmpty());
+  }
+
   @Test
   void shouldNotOrderWhenOthersStillReachThePrimary() {
     fixture.crashPrimary();
