--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -15,9 +15,6 @@
    */
   private static final long OWN_VOTE_WAIT_MS = 200;
 
-  /** The time after which all VMs have noticed a crash of the primary, in milliseconds. */
-  private static final long ALL_NOTICED_AFTER_MS = 1_000;
-
   /** The pause between two decisions after which the later one is the first of a new outage. */
   private static final long NEW_OUTAGE_AFTER_MS = 1_000;
 
@@ -47,11 +44,8 @@
     List<Vote> votes = votesOn(primary);
     Set<String> notVoted = new HashSet<>(vms.keySet());
     votes.forEach(vote -> notVoted.remove(vote.vm()));
-    List<Vote> lasting = votes.stream().filter(vote -> !mayChangeSoon(vote)).toList();
-    if (mayBeGranted(vms, primary, lasting)) {
-      Set<String> asked = new HashSet<>(vms.keySet());
-      lasting.forEach(vote -> asked.remove(vote.vm()));
-      peerVotes.ask(primary, asked);
+    if (mayBeGranted(vms, primary, votes)) {
+      peerVotes.ask(primary, notVoted);
     }
     boolean registered = failover.targets().find(primary).isPresent();
     PreVote.Outcome outcome = FailureQuorum.decide(vms, primary, votes, registered);
@@ -70,15 +64,6 @@
     lastDecisionMs = nowMs;
   }
 
-  /**
-   * Returns whether a VM that reaches the primary may not have noticed a crash yet. It is asked
-   * again before its answer expires.
-   */
-  private boolean mayChangeSoon(Vote vote) {
-    boolean recent = failover.scheduler().nowMs() - inQuestionSinceMs < ALL_NOTICED_AFTER_MS;
-    return recent && !vote.gone();
-  }
-
   /** Returns whether another VM has reported that a primary is gone. */
   boolean isReportedGoneByOthers(String primary) {
     return failover.store().votes(service).stream()
