Join what the executors of callers' requests share, and the admission of transactions

WriteExecutor, TransactionExecutor and ReadExecutor each took and checked the same five dependencies (now ExecutionContext); LocalTransactions and TransactionSteps built the same admission request (now BeginRequest.admissionRequest).

--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/Coordinator.java
@@ -68,14 +68,18 @@
     this.limiter = new InFlightLimiter(limits.maxInFlight());
     this.settler = new Settler(holderClient, monitor, clock, limits);
     this.keys = new KeyResolver(holderClient, monitor, settler);
-    final String vm = peers.self().name();
-    final RetryWait retryWait = new RetryWait(monitor, clock, random);
+    final ExecutionContext context =
+        new ExecutionContext(
+            holderClient,
+            monitor,
+            retries,
+            new RetryWait(monitor, clock, random),
+            peers.self().name());
     final ReadTargets readTargets = new ReadTargets(peers, clock, random);
     configuration.onChange(readTargets::retain);
-    this.writes = new WriteExecutor(holderClient, monitor, keys, retries, retryWait, vm);
-    this.reads = new ReadExecutor(holderClient, monitor, readTargets, retries, retryWait, vm);
-    this.transactions =
-        new TransactionExecutor(holderClient, monitor, keys, retries, retryWait, vm);
+    this.writes = new WriteExecutor(context, keys);
+    this.reads = new ReadExecutor(context, readTargets);
+    this.transactions = new TransactionExecutor(context, keys);
     metrics.registerGauges(limiter, settler);
   }
 
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/ReadExecutor.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/ReadExecutor.java
@@ -1,28 +1,21 @@
 package io.lycheejunction.proxy.caller;
 
-import io.lycheejunction.core.group.GroupMonitor;
 import io.lycheejunction.core.group.GroupView;
 import io.lycheejunction.core.port.Access;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.proxy.holder.HolderAnswer;
-import io.lycheejunction.proxy.holder.HolderClient;
 import io.lycheejunction.proxy.holder.HolderStatement;
 import java.util.Objects;
 import java.util.Optional;
 
 /** Runs single reads on the targets whose data is recent enough for the session and the caller. */
 final class ReadExecutor {
-  private final HolderClient holderClient;
-  private final GroupMonitor monitor;
+  private final ExecutionContext context;
   private final ReadTargets targets;
-  private final SharedRetryBudget retries;
-  private final RetryWait retryWait;
-  private final String entryVm;
 
   /**
    * The freshness that one read requires.
@@ -45,26 +38,12 @@
   /**
    * Creates the executor.
    *
-   * @param holderClient runs statements on targets
-   * @param monitor the known state of the groups
+   * @param context what all executors share
    * @param targets ranks the targets of a read
-   * @param retries the retry budget of this process
-   * @param retryWait waits between attempts
-   * @param entryVm the name of this proxy's VM
    */
-  ReadExecutor(
-      HolderClient holderClient,
-      GroupMonitor monitor,
-      ReadTargets targets,
-      SharedRetryBudget retries,
-      RetryWait retryWait,
-      String entryVm) {
-    this.holderClient = Objects.requireNonNull(holderClient, "holderClient is null");
-    this.monitor = Objects.requireNonNull(monitor, "monitor is null");
+  ReadExecutor(ExecutionContext context, ReadTargets targets) {
+    this.context = Objects.requireNonNull(context, "context is null");
     this.targets = Objects.requireNonNull(targets, "targets is null");
-    this.retries = Objects.requireNonNull(retries, "retries is null");
-    this.retryWait = Objects.requireNonNull(retryWait, "retryWait is null");
-    this.entryVm = Objects.requireNonNull(entryVm, "entryVm is null");
   }
 
   /**
@@ -76,10 +55,10 @@
    * @return the answer
    */
   Answer run(Route route, StatementCall call, Deadline deadline) {
-    retries.recordFirstAttempt();
+    context.retries().recordFirstAttempt();
     Attempts attempts = new Attempts();
     while (!deadline.isOver()) {
-      GroupView view = monitor.view(route.groupName());
+      GroupView view = context.monitor().view(route.groupName());
       RoundResult round =
           requirements(route, call, deadline)
               .fold(
@@ -96,7 +75,7 @@
           }
         }
       }
-      retryWait.pause(route.groupName(), view.term(), attempts.count(), deadline);
+      context.retryWait().pause(route.groupName(), view.term(), attempts.count(), deadline);
     }
     return failed(call, attempts);
   }
@@ -128,7 +107,7 @@
 
   private Result<LogPosition> latestPosition(String group, Deadline deadline) {
     Result<LogPosition> latest =
-        holderClient.latestAcknowledgedPosition(group, deadline.remainingMs());
+        context.holderClient().latestAcknowledgedPosition(group, deadline.remainingMs());
     return latest instanceof Result.Failure(Fault fault) && !fault.isNotRun()
         ? Result.failure(ResultCode.PEER_UNREACHABLE, "the group's position is not known")
         : latest;
@@ -147,12 +126,14 @@
     boolean isRetry = attempts.mayHaveRun();
     for (String target :
         targets.order(route, view, requirements.floor(), requirements.maxAgeMs())) {
-      if (deadline.isOver() || (isRetry && !retries.tryAcquireRetry())) {
+      if (deadline.isOver() || (isRetry && !context.retries().tryAcquireRetry())) {
         break;
       }
       long attemptMs = attempts.nextTimeoutMs(true, deadline);
       Result<HolderAnswer> result =
-          holderClient.execute(statement(route, call, requirements, view, target, attemptMs));
+          context
+              .holderClient()
+              .execute(statement(route, call, requirements, view, target, attemptMs));
       if (result instanceof Result.Success(HolderAnswer answer)) {
         return new RoundResult.Answered(answered(requirements, answer));
       }
@@ -200,12 +181,12 @@
         route.service().durability(),
         route.service().cutOffReads(),
         route.service().weight(),
-        entryVm,
+        context.entryVm(),
         attemptMs);
   }
 
   private Answer answered(Requirements requirements, HolderAnswer answer) {
-    monitor.mergeView(answer.view());
+    context.monitor().mergeView(answer.view());
     targets.recordAnswer(answer);
     return Answer.done(
         answer.rows(), requirements.session(), false, Optional.of(answer.target()), answer.ageMs());
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/TransactionExecutor.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/TransactionExecutor.java
@@ -1,17 +1,14 @@
 package io.lycheejunction.proxy.caller;
 
-import io.lycheejunction.core.group.GroupMonitor;
 import io.lycheejunction.core.group.GroupView;
 import io.lycheejunction.core.key.IdempotencyKey;
 import io.lycheejunction.core.port.Access;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.proxy.holder.BeginRequest;
 import io.lycheejunction.proxy.holder.HolderAnswer;
-import io.lycheejunction.proxy.holder.HolderClient;
 import io.lycheejunction.proxy.holder.KeyAnswer;
 import io.lycheejunction.proxy.holder.TransactionId;
 import io.lycheejunction.proxy.holder.TransactionStep;
@@ -21,36 +18,18 @@
 
 /** Runs callers' transactions, each pinned to one connection of the primary. */
 final class TransactionExecutor {
-  private final HolderClient holderClient;
-  private final GroupMonitor monitor;
+  private final ExecutionContext context;
   private final KeyResolver keys;
-  private final SharedRetryBudget retries;
-  private final RetryWait retryWait;
-  private final String entryVm;
 
   /**
    * Creates the executor.
    *
-   * @param holderClient runs transactions on targets
-   * @param monitor the known primaries and terms of the groups
+   * @param context what all executors share
    * @param keys determines the outcome of commits by their idempotency keys
-   * @param retries the retry budget of this process
-   * @param retryWait waits between attempts
-   * @param entryVm the name of this proxy's VM
    */
-  TransactionExecutor(
-      HolderClient holderClient,
-      GroupMonitor monitor,
-      KeyResolver keys,
-      SharedRetryBudget retries,
-      RetryWait retryWait,
-      String entryVm) {
-    this.holderClient = Objects.requireNonNull(holderClient, "holderClient is null");
-    this.monitor = Objects.requireNonNull(monitor, "monitor is null");
+  TransactionExecutor(ExecutionContext context, KeyResolver keys) {
+    this.context = Objects.requireNonNull(context, "context is null");
     this.keys = Objects.requireNonNull(keys, "keys is null");
-    this.retries = Objects.requireNonNull(retries, "retries is null");
-    this.retryWait = Objects.requireNonNull(retryWait, "retryWait is null");
-    this.entryVm = Objects.requireNonNull(entryVm, "entryVm is null");
   }
 
   /**
@@ -62,13 +41,13 @@
    * @return the answer
    */
   Answer begin(Route route, BeginCall call, Deadline deadline) {
-    retries.recordFirstAttempt();
+    context.retries().recordFirstAttempt();
     Attempts attempts = new Attempts();
     while (!deadline.isOver()) {
-      if (attempts.mayHaveRun() && !retries.tryAcquireRetry()) {
+      if (attempts.mayHaveRun() && !context.retries().tryAcquireRetry()) {
         break;
       }
-      GroupView view = monitor.view(route.groupName());
+      GroupView view = context.monitor().view(route.groupName());
       Result<TransactionId> result = beginOnPrimary(route, call, view, deadline);
       if (result instanceof Result.Success(TransactionId id)) {
         return Answer.done(List.of(), call.session(), false, view.primary(), Optional.empty())
@@ -79,7 +58,7 @@
       if (fault.isNotRun() && !RetryRules.isTransient(fault)) {
         break;
       }
-      retryWait.pause(route.groupName(), view.term(), attempts.count(), deadline);
+      context.retryWait().pause(route.groupName(), view.term(), attempts.count(), deadline);
     }
     return Answer.of(
         attempts.mayHaveRun() ? attempts.unknownOutcome() : attempts.lastFault(), call.session());
@@ -91,17 +70,19 @@
     if (primary.isEmpty()) {
       return Result.failure(ResultCode.NO_PRIMARY, "no primary of the group is known");
     }
-    return holderClient.beginTransaction(
-        new BeginRequest(
-            route.service().name(),
-            route.groupName(),
-            primary.get(),
-            view.term(),
-            route.service().durability(),
-            route.service().weight(),
-            entryVm,
-            call.idleLimitMs(),
-            deadline.remainingMs()));
+    return context
+        .holderClient()
+        .beginTransaction(
+            new BeginRequest(
+                route.service().name(),
+                route.groupName(),
+                primary.get(),
+                view.term(),
+                route.service().durability(),
+                route.service().weight(),
+                context.entryVm(),
+                call.idleLimitMs(),
+                deadline.remainingMs()));
   }
 
   /**
@@ -178,12 +159,15 @@
 
   private Result<HolderAnswer> step(
       TransactionCall call, TransactionStep.Action action, Deadline deadline) {
-    return holderClient.executeStep(
-        new TransactionStep(call.transaction(), call.service(), action, deadline.remainingMs()));
+    return context
+        .holderClient()
+        .executeStep(
+            new TransactionStep(
+                call.transaction(), call.service(), action, deadline.remainingMs()));
   }
 
   private Answer answered(Route route, HolderAnswer answer, SessionToken session) {
-    monitor.mergeView(answer.view());
+    context.monitor().mergeView(answer.view());
     return Answer.done(
         answer.rows(), session, answer.replayed(), Optional.of(answer.target()), answer.ageMs());
   }
@@ -220,14 +204,14 @@
     String group = route.groupName();
     int queryCount = 0;
     while (!deadline.isOver()) {
-      long term = monitor.view(group).term();
+      long term = context.monitor().view(group).term();
       Result<KeyAnswer> found = keys.query(group, key, queryCount > 0, deadline);
       if (found instanceof Result.Success(KeyAnswer answer)
           && answer.state() != KeyAnswer.State.ABSENT) {
         return keys.answerFor(group, call.session(), answer);
       }
       queryCount++;
-      retryWait.pause(group, term, queryCount, deadline);
+      context.retryWait().pause(group, term, queryCount, deadline);
     }
     return keys.settleLater(group, key, call.session(), fault);
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/caller/WriteExecutor.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/caller/WriteExecutor.java
@@ -1,16 +1,13 @@
 package io.lycheejunction.proxy.caller;
 
-import io.lycheejunction.core.group.GroupMonitor;
 import io.lycheejunction.core.group.GroupView;
 import io.lycheejunction.core.key.IdempotencyKey;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.Result;
 import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.retry.SharedRetryBudget;
 import io.lycheejunction.core.session.SessionToken;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.proxy.holder.HolderAnswer;
-import io.lycheejunction.proxy.holder.HolderClient;
 import io.lycheejunction.proxy.holder.HolderStatement;
 import java.util.Objects;
 import java.util.Optional;
@@ -22,36 +19,18 @@
  * key.
  */
 final class WriteExecutor {
-  private final HolderClient holderClient;
-  private final GroupMonitor monitor;
+  private final ExecutionContext context;
   private final KeyResolver keys;
-  private final SharedRetryBudget retries;
-  private final RetryWait retryWait;
-  private final String entryVm;
 
   /**
    * Creates the executor.
    *
-   * @param holderClient runs statements on targets
-   * @param monitor the known primaries and terms of the groups
+   * @param context what all executors share
    * @param keys determines the outcome of writes by their idempotency keys
-   * @param retries the retry budget of this process
-   * @param retryWait waits between attempts
-   * @param entryVm the name of this proxy's VM
    */
-  WriteExecutor(
-      HolderClient holderClient,
-      GroupMonitor monitor,
-      KeyResolver keys,
-      SharedRetryBudget retries,
-      RetryWait retryWait,
-      String entryVm) {
-    this.holderClient = Objects.requireNonNull(holderClient, "holderClient is null");
-    this.monitor = Objects.requireNonNull(monitor, "monitor is null");
+  WriteExecutor(ExecutionContext context, KeyResolver keys) {
+    this.context = Objects.requireNonNull(context, "context is null");
     this.keys = Objects.requireNonNull(keys, "keys is null");
-    this.retries = Objects.requireNonNull(retries, "retries is null");
-    this.retryWait = Objects.requireNonNull(retryWait, "retryWait is null");
-    this.entryVm = Objects.requireNonNull(entryVm, "entryVm is null");
   }
 
   /**
@@ -63,14 +42,14 @@
    * @return the answer
    */
   Answer run(Route route, StatementCall call, Deadline deadline) {
-    retries.recordFirstAttempt();
+    context.retries().recordFirstAttempt();
     Attempts attempts = new Attempts();
     while (!deadline.isOver()) {
-      if (attempts.mayHaveRun() && !retries.tryAcquireRetry()) {
+      if (attempts.mayHaveRun() && !context.retries().tryAcquireRetry()) {
         pause(route, attempts, deadline);
         continue;
       }
-      GroupView view = monitor.view(route.groupName());
+      GroupView view = context.monitor().view(route.groupName());
       long attemptMs = attempts.nextTimeoutMs(call.isRetryable(), deadline);
       Result<HolderAnswer> result = attempt(route, call, view, attemptMs);
       if (result instanceof Result.Success(HolderAnswer answer)) {
@@ -106,9 +85,9 @@
             route.service().durability(),
             route.service().cutOffReads(),
             route.service().weight(),
-            entryVm,
+            context.entryVm(),
             attemptMs);
-    return holderClient.execute(statement);
+    return context.holderClient().execute(statement);
   }
 
   private static boolean isFinal(StatementCall call, Attempts attempts, Fault fault) {
@@ -122,11 +101,11 @@
   }
 
   private void pause(Route route, Attempts attempts, Deadline deadline) {
-    retryWait.pause(route.groupName(), attempts.lastTerm(), attempts.count(), deadline);
+    context.retryWait().pause(route.groupName(), attempts.lastTerm(), attempts.count(), deadline);
   }
 
   private Answer answered(Route route, StatementCall call, HolderAnswer answer) {
-    monitor.mergeView(answer.view());
+    context.monitor().mergeView(answer.view());
     SessionToken session =
         Sessions.afterCommit(
             call.session(), route.groupName(), answer.position(), answer.replayed());
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/BeginRequest.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/BeginRequest.java
@@ -1,5 +1,7 @@
 package io.lycheejunction.proxy.holder;
 
+import io.lycheejunction.core.admission.AdmissionRequest;
+import io.lycheejunction.core.admission.PriorityClass;
 import io.lycheejunction.core.configuration.Durability;
 import java.util.Objects;
 
@@ -35,4 +37,15 @@
     Objects.requireNonNull(durability, "durability is null");
     Objects.requireNonNull(entryVm, "entryVm is null");
   }
+
+  /**
+   * Returns the request for admission to the target.
+   *
+   * @param deadline the deadline of the step that is to be admitted
+   * @return the request, urgent, since the transaction occupies a connection
+   */
+  AdmissionRequest admissionRequest(Deadline deadline) {
+    return new AdmissionRequest(
+        service, weight, entryVm, PriorityClass.URGENT, deadline.remainingMs());
+  }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalTransactions.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalTransactions.java
@@ -1,8 +1,6 @@
 package io.lycheejunction.proxy.holder;
 
 import io.lycheejunction.core.admission.AdmissionController;
-import io.lycheejunction.core.admission.AdmissionRequest;
-import io.lycheejunction.core.admission.PriorityClass;
 import io.lycheejunction.core.clock.RuntimeClock;
 import io.lycheejunction.core.group.GroupMonitor;
 import io.lycheejunction.core.group.GroupView;
@@ -56,7 +54,7 @@
                 steps
                     .confirmPrimary(request, deadline)
                     .flatMap(
-                        view -> held.acquireTransactionPermit(admissionRequest(request, deadline)))
+                        view -> held.acquireTransactionPermit(request.admissionRequest(deadline)))
                     .flatMap(permit -> begin(request, held, permit, deadline)));
   }
 
@@ -80,7 +78,7 @@
             .held()
             .callOnConnection(
                 transaction.connection(),
-                admissionRequest(request, deadline),
+                request.admissionRequest(deadline),
                 () -> faultBeforeDispatch(request, deadline),
                 connection -> connection.beginTransaction(request.term(), deadline.remainingMs()));
     if (begun instanceof Result.Failure<TargetReply.Answered> failure) {
@@ -190,13 +188,4 @@
       transaction.endStep(clock.monotonicMs());
     }
   }
-
-  private static AdmissionRequest admissionRequest(BeginRequest request, Deadline deadline) {
-    return new AdmissionRequest(
-        request.service(),
-        request.weight(),
-        request.entryVm(),
-        PriorityClass.URGENT,
-        deadline.remainingMs());
-  }
 }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
@@ -1,7 +1,5 @@
 package io.lycheejunction.proxy.holder;
 
-import io.lycheejunction.core.admission.AdmissionRequest;
-import io.lycheejunction.core.admission.PriorityClass;
 import io.lycheejunction.core.configuration.Durability;
 import io.lycheejunction.core.group.GroupMonitor;
 import io.lycheejunction.core.group.GroupView;
@@ -106,7 +104,7 @@
             .held()
             .callOnConnection(
                 transaction.connection(),
-                admissionRequest(request, deadline),
+                request.admissionRequest(deadline),
                 () -> deadlineFault(deadline),
                 connection ->
                     connection.execute(
@@ -161,7 +159,7 @@
             .held()
             .callOnConnection(
                 transaction.connection(),
-                admissionRequest(request, deadline),
+                request.admissionRequest(deadline),
                 () -> deadlineFault(deadline),
                 connection -> connection.commit(step.action().key(), deadline.remainingMs()));
     return reply.fold(
@@ -213,7 +211,7 @@
             .held()
             .callOnConnection(
                 transaction.connection(),
-                admissionRequest(request, deadline),
+                request.admissionRequest(deadline),
                 Optional::empty,
                 connection -> connection.rollback(deadline.remainingMs()));
     GroupView view = monitor.view(request.group());
@@ -249,13 +247,4 @@
         ? Optional.of(Fault.of(ResultCode.DEADLINE_EXCEEDED, "deadline passed before dispatch"))
         : Optional.empty();
   }
-
-  private static AdmissionRequest admissionRequest(BeginRequest request, Deadline deadline) {
-    return new AdmissionRequest(
-        request.service(),
-        request.weight(),
-        request.entryVm(),
-        PriorityClass.URGENT,
-        deadline.remainingMs());
-  }
 }
