Run the steps of a transaction through OpenTransaction

Four places passed the transaction's target, connection and admission request on by themselves. No change of behaviour; LocalTransactionsTest, CoordinatorTransactionTest, CallerHttpTest and HolderRouterTest passed.

--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalTransactions.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/LocalTransactions.java
@@ -74,13 +74,10 @@
   private Result<TransactionId> begin(OpenTransaction transaction, Deadline deadline) {
     BeginRequest request = transaction.beginRequest();
     Result<TargetReply.Answered> begun =
-        transaction
-            .held()
-            .callOnConnection(
-                transaction.connection(),
-                request.admissionRequest(deadline),
-                () -> faultBeforeDispatch(request, deadline),
-                connection -> connection.beginTransaction(request.term(), deadline.remainingMs()));
+        transaction.call(
+            deadline,
+            () -> faultBeforeDispatch(request, deadline),
+            connection -> connection.beginTransaction(request.term(), deadline.remainingMs()));
     if (begun instanceof Result.Failure<TargetReply.Answered> failure) {
       Fault fault = failure.fault();
       transaction.release(fault.isNotRun());
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/OpenTransaction.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/OpenTransaction.java
@@ -2,7 +2,13 @@
 
 import io.lycheejunction.core.admission.AdmissionController;
 import io.lycheejunction.core.port.TargetConnection;
+import io.lycheejunction.core.port.TargetReply;
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Result;
+import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Function;
+import java.util.function.Supplier;
 
 /** An open transaction, pinned to one connection of a primary, which runs one step at a time. */
 final class OpenTransaction {
@@ -30,6 +36,21 @@
     return request;
   }
 
+  /**
+   * Returns the answer to a step that runs on the transaction's connection.
+   *
+   * @param deadline the deadline of the step
+   * @param preDispatchCheck returns why the step must not be sent, once it has been admitted
+   * @param step sends the step
+   */
+  Result<TargetReply.Answered> call(
+      Deadline deadline,
+      Supplier<Optional<Fault>> preDispatchCheck,
+      Function<TargetConnection, TargetReply> step) {
+    return held.callOnConnection(
+        connection, request.admissionRequest(deadline), preDispatchCheck, step);
+  }
+
   HeldTarget held() {
     return held;
   }
--- a/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
+++ b/proxy/src/main/java/io/lycheejunction/proxy/holder/TransactionSteps.java
@@ -100,21 +100,18 @@
       TransactionStep step, OpenTransaction transaction, Deadline deadline) {
     BeginRequest request = transaction.beginRequest();
     Result<TargetReply.Answered> reply =
-        transaction
-            .held()
-            .callOnConnection(
-                transaction.connection(),
-                request.admissionRequest(deadline),
-                () -> deadlineFault(deadline),
-                connection ->
-                    connection.execute(
-                        new TargetRequest(
-                            correlationIds.next(),
-                            request.term(),
-                            step.action().access(),
-                            step.action().statement(),
-                            Optional.empty(),
-                            deadline.remainingMs())));
+        transaction.call(
+            deadline,
+            () -> deadlineFault(deadline),
+            connection ->
+                connection.execute(
+                    new TargetRequest(
+                        correlationIds.next(),
+                        request.term(),
+                        step.action().access(),
+                        step.action().statement(),
+                        Optional.empty(),
+                        deadline.remainingMs())));
     return reply.fold(
         fault -> statementFailed(fault, transaction),
         answered -> statementAnswered(step, transaction, answered, deadline));
@@ -153,15 +150,11 @@
   }
 
   private StepResult commit(TransactionStep step, OpenTransaction transaction, Deadline deadline) {
-    BeginRequest request = transaction.beginRequest();
     Result<TargetReply.Answered> reply =
-        transaction
-            .held()
-            .callOnConnection(
-                transaction.connection(),
-                request.admissionRequest(deadline),
-                () -> deadlineFault(deadline),
-                connection -> connection.commit(step.action().key(), deadline.remainingMs()));
+        transaction.call(
+            deadline,
+            () -> deadlineFault(deadline),
+            connection -> connection.commit(step.action().key(), deadline.remainingMs()));
     return reply.fold(
         TransactionSteps::notCommitted, answered -> committed(transaction, answered, deadline));
   }
@@ -207,13 +200,8 @@
       TransactionStep step, OpenTransaction transaction, Deadline deadline) {
     BeginRequest request = transaction.beginRequest();
     Result<TargetReply.Answered> reply =
-        transaction
-            .held()
-            .callOnConnection(
-                transaction.connection(),
-                request.admissionRequest(deadline),
-                Optional::empty,
-                connection -> connection.rollback(deadline.remainingMs()));
+        transaction.call(
+            deadline, Optional::empty, connection -> connection.rollback(deadline.remainingMs()));
     GroupView view = monitor.view(request.group());
     Result<HolderAnswer> laterCommitAnswer =
         Result.failure(ResultCode.ROLLED_BACK, "rolled back on request");
