--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -27,9 +27,9 @@
   static final long READ_STORE_INTERVAL_MS = 400;
 
   /**
-   * How long this VM has to be a holder before it relies on the store, in milliseconds. Whoever has
-   * read the holders within that time knows that it is one and waits for its leases; whoever has
-   * not waits without knowing.
+   * How long this VM has to be a holder before it relies on the store, in milliseconds. A VM that
+   * replaces a primary has either read the holders within that time, and so knows this one, or
+   * waits in any case.
    */
   public static final long KNOWN_TO_ALL_AFTER_MS = 10_000;
 
