Request the leases on a primary as soon as it is found

What callers saw: after a power loss of all VMs the first statements were refused with NO_PRIMARY for 0.42 to 0.46 s after the holders had their role. Cause: the first renewal ran before any primary was known, counted as granted, and the next one came a regular interval (300 ms) later.

Now each primary that is found triggers a renewal, and the urgent interval follows until it is granted. LeaseRenewalTest: both tests need the call; without it the request comes after 300 ms.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -10,6 +10,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 /** Detects failed or leaving primaries of all services and starts their replacement. */
@@ -22,6 +23,7 @@
 
   private final FailoverContext failover;
   private final Map<String, ServiceWatch> watches = new HashMap<>();
+  private Runnable primaryFoundListener = () -> {};
   private boolean checkSoon;
   private long isolatedSinceMs = NOT_ISOLATED;
 
@@ -34,6 +36,15 @@
     this.failover = failover;
   }
 
+  /**
+   * Sets what runs each time this VM has found a primary that it did not know before.
+   *
+   * @param listener runs before statements that wait for the primary
+   */
+  public void setPrimaryFoundListener(Runnable listener) {
+    primaryFoundListener = Objects.requireNonNull(listener, "listener is null");
+  }
+
   /** Checks all primaries now and then at regular intervals. */
   public void start() {
     checkRepeatedly();
@@ -49,7 +60,7 @@
     }
     for (String service : failover.targets().services()) {
       ServiceWatch watch =
-          watches.computeIfAbsent(service, name -> new ServiceWatch(failover, name));
+          watches.computeIfAbsent(service, name -> new ServiceWatch(failover, name, this::onPrimaryFound));
       checkSoon |= watch.check();
     }
     watches.keySet().retainAll(failover.targets().services());
@@ -127,6 +138,10 @@
     failover.leases().grants().resume(service, requester);
   }
 
+  private void onPrimaryFound() {
+    primaryFoundListener.run();
+  }
+
   private long unreachablePrimaries() {
     return watches.values().stream().filter(watch -> !watch.reachesPrimary()).count();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -53,6 +53,7 @@
 
   private final FailoverContext failover;
   private final String service;
+  private final Runnable onPrimaryFound;
   private final long jitterMs;
   private final PrimaryVotes votes;
   private final PrimaryProbe probe;
@@ -68,9 +69,10 @@
   private FailoverRun run;
   private long lastRunMs;
 
-  ServiceWatch(FailoverContext failover, String service) {
+  ServiceWatch(FailoverContext failover, String service, Runnable onPrimaryFound) {
     this.failover = failover;
     this.service = service;
+    this.onPrimaryFound = onPrimaryFound;
     this.votes = new PrimaryVotes(failover, service);
     this.probe = new PrimaryProbe(failover, service);
     this.jitterMs = Math.floorMod((failover.vm() + '/' + service).hashCode(), LEAVING_JITTER_MS);
@@ -225,6 +227,7 @@
       if (run != null) {
         run.complete(id.get());
       }
+      onPrimaryFound.run();
     }
     if (primary.filter(this::isUsable).isPresent()) {
       awaitingFirstLease = false;
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -69,6 +69,8 @@
   private long ungrantedSinceMs = GRANTED;
   private long lastStoreReadMs = Long.MIN_VALUE / 2;
   private boolean readingStore;
+  private boolean started;
+  private Scheduler.Timer nextRenewal;
 
   /**
    * Creates a renewal that is idle until {@link #start}.
@@ -101,9 +103,18 @@
   /** Renews the leases now and then at regular intervals, from when this VM is a holder. */
   public void start() {
     knownToAllFromMs = scheduler.nowMs() + KNOWN_TO_ALL_AFTER_MS;
+    started = true;
     renewRepeatedly();
   }
 
+  /** Requests the leases now, before the next regular time, since a primary was just found. */
+  public void onPrimaryFound() {
+    if (started) {
+      nextRenewal.cancel();
+      renewRepeatedly();
+    }
+  }
+
   private void renewRepeatedly() {
     boolean granted = true;
     try {
@@ -118,7 +129,8 @@
         readStoreIfDue();
       }
     } finally {
-      scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::renewRepeatedly);
+      nextRenewal =
+          scheduler.schedule(granted ? INTERVAL_MS : URGENT_INTERVAL_MS, this::renewRepeatedly);
     }
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -124,6 +124,40 @@
     assertFalse(isHeld());
   }
 
+  /**
+   * Load: all VMs lose power and start at once. The first renewal found no primary yet, and the
+   * leases on those found a moment later were requested only at the next regular time.
+   */
+  @Test
+  void shouldRequestLeasesAtOnceWhenPrimaryIsFoundAfterStart() {
+    replies.put("vm-a", new LeaseReply(List.of(primary("i-1", true))));
+    forwards = true;
+    start();
+    scheduler.advanceMs(RTT_MS);
+
+    forwards = false;
+    renewal.onPrimaryFound();
+    scheduler.advanceMs(RTT_MS);
+
+    assertTrue(isHeld());
+  }
+
+  /** Another VM may not know the primary yet when it is asked for the first time. */
+  @Test
+  void shouldRequestLeasesAgainSoonWhenOtherVmDoesNotKnowThePrimaryYet() {
+    forwards = true;
+    start();
+    scheduler.advanceMs(RTT_MS);
+    forwards = false;
+    renewal.onPrimaryFound();
+    scheduler.advanceMs(RTT_MS);
+
+    replies.put("vm-a", new LeaseReply(List.of(primary("i-1", true))));
+    scheduler.advanceMs(LeaseRenewal.URGENT_INTERVAL_MS + RTT_MS);
+
+    assertTrue(isHeld());
+  }
+
   /** Guards against a cost that grows while nothing changes. */
   @Test
   void shouldAskEachVmOnceAnIntervalWhenLeasesAreGranted() {
