Don't wait for silent VMs in each step of a primary's replacement

Cause: four waits in a row, each for VMs that can't answer: their votes (200 ms), objections (100 ms), their release (200 ms), and only then the failover lease, from which the order waits 1.08 s for VMs that may rely on a read of the store.

Change, only where primaries are used under leases: - A majority of votes starts the replacement; the release asks every VM anyway, and a refusal is an objection. - The release counts as granted with the quorum of seats, if more than half of the holders have released it.

Why no two primaries are in use: as before, the order waits until the leases that a quorum reports have expired, and until reads of the store from before the failover lease have; only the length of that time has changed, on both sides by the same constant. A VM's release is counted from its own reply, as before.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -365,6 +365,7 @@
   private void end(String outcome) {
     if (!ended) {
       ended = true;
+      release.cancel();
       if (isSynchronous()) {
         resumeReplication();
       }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
@@ -19,15 +19,30 @@
   /** The maximum age of the VMs' release when a promotion is ordered, in milliseconds. */
   private static final long MAX_AGE_MS = 1_500;
 
+  /**
+   * How long VMs that still reach the primary have to refuse its release, in milliseconds. A
+   * primary that was only slow may answer in that time.
+   */
+  private static final long OBJECTION_WAIT_MS = 100;
+
+  private static final long NOT_RELEASED = Long.MIN_VALUE;
+
   private final FailoverContext failover;
   private final String service;
   private final String primary;
   private final Supplier<ReleaseReply> ownRelease;
-  private Optional<ReleaseRound.Result.Released> released = Optional.empty();
-  private long releasedMs;
+  private Optional<ReleaseRound> round = Optional.empty();
+  private Optional<Wait> wait = Optional.empty();
+  private long requestedMs;
+  private long releasedMs = NOT_RELEASED;
   private boolean needed;
   private boolean denied;
 
+  /**
+   * What follows when the primary is unused, and since when this process has the failover lease.
+   */
+  private record Wait(long failoverLeaseMs, Runnable next) {}
+
   /**
    * Creates a release that has not been requested yet.
    *
@@ -57,7 +72,7 @@
 
   /** Returns whether the release is too old to order a promotion, so that it is requested again. */
   boolean isOutdated() {
-    return released.isPresent() && now() - releasedMs > MAX_AGE_MS;
+    return releasedMs != NOT_RELEASED && now() - releasedMs > MAX_AGE_MS;
   }
 
   /**
@@ -71,52 +86,61 @@
       onReleased.run();
       return;
     }
-    ReleaseRound.start(
-        failover,
-        service,
-        primary,
-        ownRelease.get(),
-        result -> {
-          switch (result) {
-            case ReleaseRound.Result.Denied tooFew -> {
-              denied = true;
-              failover.leases().voters().refresh();
-              onDenied.run();
-            }
-            case ReleaseRound.Result.Released granted -> {
-              released = Optional.of(granted);
-              releasedMs = now();
-              onReleased.run();
-            }
-          }
-        });
+    cancel();
+    requestedMs = now();
+    ReleaseRound started =
+        new ReleaseRound(failover, service, primary, new RoundListener(onReleased, onDenied));
+    round = Optional.of(started);
+    started.start(ownRelease.get());
+  }
+
+  /** Stops asking VMs and waiting, since the run has ended. */
+  void cancel() {
+    round.ifPresent(ReleaseRound::cancel);
+    wait = Optional.empty();
   }
 
   /**
    * Waits until no VM uses the primary any more.
    *
    * <p>A VM that has not released it, or that this VM does not know as a holder, may rely on a read
-   * of the store from before the failover lease was acquired, for the duration of its lease on the
-   * primary.
+   * of the store from before the failover lease was acquired, for the time that such a read counts.
    *
    * @param failoverLeaseMs the time at which this process first acquired the failover lease
    * @param next runs when the primary is unused
    */
   void awaitUnused(long failoverLeaseMs, Runnable next) {
-    if (released.isEmpty()) {
+    if (round.isEmpty()) {
       next.run();
       return;
     }
-    long unusedFromMs = released.get().unusedFromMs();
-    if (!released.get().byAll() || !knowsAllHolders(released.get(), failoverLeaseMs)) {
-      unusedFromMs =
-          Math.max(
-              unusedFromMs,
-              failoverLeaseMs + PrimaryLeases.DURATION_MS + ReleaseRound.CLOCK_MARGIN_MS);
+    wait = Optional.of(new Wait(failoverLeaseMs, next));
+    continueIfUnused();
+  }
+
+  private void continueIfUnused() {
+    if (wait.isEmpty() || round.isEmpty()) {
+      return;
+    }
+    Wait waiting = wait.get();
+    long waitMs = unusedFromMs(round.get(), waiting.failoverLeaseMs()) - now();
+    if (waitMs > 0) {
+      failover.gate().expectPromotion(service, waitMs);
+      failover.scheduler().schedule(waitMs, this::continueIfUnused);
+      return;
+    }
+    cancel();
+    waiting.next().run();
+  }
+
+  private long unusedFromMs(ReleaseRound released, long failoverLeaseMs) {
+    long unusedFromMs = Math.max(released.unusedFromMs(), requestedMs + OBJECTION_WAIT_MS);
+    if (released.isReleasedByAll() && knowsAllHolders(released, failoverLeaseMs)) {
+      return unusedFromMs;
     }
-    long waitMs = Math.max(0, unusedFromMs - now());
-    failover.gate().expectPromotion(service, waitMs);
-    failover.scheduler().schedule(waitMs, next);
+    long readsExpiredMs =
+        failoverLeaseMs + PrimaryLeases.STORE_READ_VALID_MS + ReleaseRound.CLOCK_MARGIN_MS;
+    return Math.max(unusedFromMs, readsExpiredMs);
   }
 
   /**
@@ -124,8 +148,7 @@
    * relied on the store before the failover lease was acquired. A VM does so only once it has been
    * a holder for some time.
    */
-  private static boolean knowsAllHolders(
-      ReleaseRound.Result.Released released, long failoverLeaseMs) {
+  private static boolean knowsAllHolders(ReleaseRound released, long failoverLeaseMs) {
     long ageMs = failoverLeaseMs - released.holdersAsOfMs();
     return ageMs + ReleaseRound.CLOCK_MARGIN_MS < LeaseRenewal.KNOWN_TO_ALL_AFTER_MS;
   }
@@ -157,6 +180,34 @@
     }
   }
 
+  private final class RoundListener implements ReleaseRound.Listener {
+    private final Runnable onReleased;
+    private final Runnable onDenied;
+
+    private RoundListener(Runnable onReleased, Runnable onDenied) {
+      this.onReleased = onReleased;
+      this.onDenied = onDenied;
+    }
+
+    @Override
+    public void onQuorum() {
+      releasedMs = now();
+      onReleased.run();
+    }
+
+    @Override
+    public void onDenied() {
+      denied = true;
+      failover.leases().voters().refresh();
+      onDenied.run();
+    }
+
+    @Override
+    public void onLaterReply() {
+      continueIfUnused();
+    }
+  }
+
   private long now() {
     return failover.scheduler().nowMs();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -33,7 +33,8 @@
 
   /**
    * Returns whether a primary that this VM considers gone counts as gone. VMs that have not voted
-   * are asked first if the votes of the others would be enough.
+   * are asked first if the votes of the others would be enough, unless all VMs will be asked to
+   * release the primary anyway.
    *
    * @param primary the identifier of the primary
    * @return granted, denied, or open while answers of VMs are pending
@@ -49,7 +50,8 @@
     }
     boolean registered = failover.targets().find(primary).isPresent();
     PreVote.Outcome outcome = FailureQuorum.decide(vms, primary, votes, registered);
-    if (outcome == PreVote.Outcome.GRANTED && !peerVotes.haveReplied(notVoted)) {
+    boolean askedLater = registered && failover.leases().use().needsLease();
+    if (outcome == PreVote.Outcome.GRANTED && !askedLater && !peerVotes.haveReplied(notVoted)) {
       return PreVote.Outcome.OPEN;
     }
     return outcome;
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -60,7 +60,8 @@
     }
     for (String service : failover.targets().services()) {
       ServiceWatch watch =
-          watches.computeIfAbsent(service, name -> new ServiceWatch(failover, name, this::onPrimaryFound));
+          watches.computeIfAbsent(
+              service, name -> new ServiceWatch(failover, name, this::onPrimaryFound));
       checkSoon |= watch.check();
     }
     watches.keySet().retainAll(failover.targets().services());
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -36,7 +36,10 @@
    */
   private static final long UNREACHABLE_LEAVING_DELAY_MS = 1_000;
 
-  /** How long VMs that still reach the primary have to vote against, in milliseconds. */
+  /**
+   * How long VMs that still reach the primary have to vote against, in milliseconds. Where they are
+   * asked to release the primary, they can object then.
+   */
   private static final long OBJECTION_WAIT_MS = 100;
 
   private static final long MAX_ANSWER_AGE_MS = 250;
@@ -343,7 +346,8 @@
 
   private void replaceIfGranted(String primary, Optional<TargetHandle> handle) {
     if (votes.decide(primary) == PreVote.Outcome.GRANTED) {
-      startAfter(OBJECTION_WAIT_MS, "gone", handle, false);
+      long delayMs = failover.leases().use().needsLease() ? 0 : OBJECTION_WAIT_MS;
+      startAfter(delayMs, "gone", handle, false);
     } else {
       earliestStartMs = Long.MIN_VALUE;
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -24,7 +24,7 @@
   static final long READ_STORE_AFTER_MS = 400;
 
   /** The interval between two reads of the store, in milliseconds. */
-  static final long READ_STORE_INTERVAL_MS = 400;
+  static final long READ_STORE_INTERVAL_MS = 200;
 
   /**
    * How long this VM has to be a holder before it relies on the store, in milliseconds. A VM that
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/PrimaryLeases.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/PrimaryLeases.java
@@ -29,6 +29,12 @@
   /** How long a granted lease is valid, in milliseconds. */
   public static final long DURATION_MS = 1_000;
 
+  /**
+   * How long a read of the store counts that names no replacement of a primary, in milliseconds. A
+   * promotion that not all VMs have agreed to waits for that long.
+   */
+  public static final long STORE_READ_VALID_MS = 600;
+
   private static final EventLog LOG = EventLog.of(PrimaryLeases.class);
   private static final long NEVER = Long.MIN_VALUE;
 
@@ -77,8 +83,8 @@
 
   /**
    * Records that no replacement of a primary had been started according to the store. Whoever
-   * starts one waits for the duration of a lease after the store has accepted it, unless all
-   * holders have released the primary.
+   * starts one waits for the time that such a read counts after the store has accepted it, unless
+   * all holders have released the primary.
    *
    * @param service the service
    * @param primary the identifier of the primary
@@ -90,7 +96,7 @@
     }
     ServiceLease lease = leaseOn(service, primary);
     lease.confirmedByStoreUntilMs =
-        Math.max(lease.confirmedByStoreUntilMs, requestedMs + DURATION_MS);
+        Math.max(lease.confirmedByStoreUntilMs, requestedMs + STORE_READ_VALID_MS);
   }
 
   private ServiceLease leaseOn(String service, String primary) {
