--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementLog.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementLog.java
@@ -50,7 +50,7 @@
   private final LineBudget successes = new LineBudget();
   private final LineBudget faults = new LineBudget();
   private long configurationVersion;
-  private Consumer<Optional<Fault>> onEnded = fault -> {};
+  private Consumer<Entry> onEnded = entry -> {};
 
   /**
    * Creates a statement log.
@@ -66,9 +66,9 @@
   /**
    * Sets the callback that receives the outcome of each statement.
    *
-   * @param callback receives the fault, or empty after a success
+   * @param callback receives the outcome of each statement
    */
-  public void setResultListener(Consumer<Optional<Fault>> callback) {
+  public void setResultListener(Consumer<Entry> callback) {
     onEnded = callback;
   }
 
@@ -87,7 +87,7 @@
    * @param entry the outcome of the statement
    */
   public void write(Entry entry) {
-    onEnded.accept(entry.fault());
+    onEnded.accept(entry);
     metrics.recordStatement(
         entry.request().route().service(),
         entry.request().writes(),
