Grant no lease on a primary that returns under another identifier while it is replaced

Cause, from the logs: the primary i-087939d66d crashed at 12.9 s; its replacement by i-62bec92153 was ordered at 18.67 s and took effect at about 19.7 s. At 19.17 s the crashed one registered again, as i-071059960b, in term 1 and as primary. Releases and the failover lease name the primary by its identifier, so VMs acquired leases on the new one from 19.24 s on and went on to use it. Now a release also covers targets of the service that the VM did not know when it released; a successor is one that it knew. Tests: PrimaryReleaseTest (fails without the change), LeaseGrantsTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -11,9 +11,11 @@
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.Comparator;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 
 /** Watches the primary of one service and starts its replacement when it is gone or leaving. */
 final class ServiceWatch {
@@ -176,11 +178,18 @@
       return ReleaseReply.refused(failover.vm());
     }
     LeaseContext leases = failover.leases();
-    leases.release(service, primary, requester, now());
+    leases.release(service, primary, requester, successorsOf(primary), now());
     return new ReleaseReply(
         failover.vm(), true, knowsAllGrants(), leases.grants().remainingMs(service, now()));
   }
 
+  private Set<String> successorsOf(String primary) {
+    Set<String> ids = new HashSet<>();
+    failover.targets().of(service).forEach(handle -> ids.add(handle.target().id()));
+    ids.remove(primary);
+    return ids;
+  }
+
   /**
    * Returns whether this VM has had its seat for so long that leases which were granted from it
    * before, by another VM or by an earlier process, have expired.
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseContext.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.lease;
 
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * What the detection and the replacement of failed primaries need of leases.
@@ -26,10 +27,12 @@
    * @param service the service
    * @param primary the identifier of the primary, or an empty text if none is known
    * @param requester the name of the VM that is about to replace the primary
+   * @param successors the identifiers of the targets that may be promoted
    * @param nowMs the present time, in milliseconds
    */
-  public void release(String service, String primary, String requester, long nowMs) {
-    grants.release(service, primary, requester, nowMs);
+  public void release(
+      String service, String primary, String requester, Set<String> successors, long nowMs) {
+    grants.release(service, primary, requester, successors, nowMs);
     if (use instanceof PrimaryUse.Leased(PrimaryLeases leases)) {
       leases.drop(service);
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseGrants.java
@@ -3,15 +3,16 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 
 /** The leases that this VM has granted to others, and the primaries that it has released. */
 public final class LeaseGrants {
   /** How long a released primary is not used and no lease on it is granted, in milliseconds. */
   public static final long RELEASE_VALID_MS = 3_000;
 
-  private record Release(String primary, long untilMs) {
+  private record Release(String primary, Set<String> successors, long untilMs) {
     private boolean covers(String other, long nowMs) {
-      return nowMs < untilMs && primary.equals(other);
+      return nowMs < untilMs && (primary.equals(other) || !successors.contains(other));
     }
   }
 
@@ -41,12 +42,16 @@
    * @param service the service
    * @param primary the identifier of the primary, or an empty text if none is known
    * @param requester the name of the VM that is about to replace the primary
+   * @param successors the identifiers of the targets that may be promoted. A target that is not
+   *     among them may be the same primary, which has started again under another identifier and
+   *     still claims its role.
    * @param nowMs the present time, in milliseconds
    */
-  public void release(String service, String primary, String requester, long nowMs) {
+  public void release(
+      String service, String primary, String requester, Set<String> successors, long nowMs) {
     releases
         .computeIfAbsent(service, name -> new HashMap<>())
-        .put(requester, new Release(primary, nowMs + RELEASE_VALID_MS));
+        .put(requester, new Release(primary, Set.copyOf(successors), nowMs + RELEASE_VALID_MS));
   }
 
   /**
@@ -63,7 +68,7 @@
   }
 
   /**
-   * Returns whether a primary has been released recently.
+   * Returns whether a primary has been released recently, or may be one that has been.
    *
    * @param service the service
    * @param primary the identifier of the primary
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -276,6 +276,44 @@
     assertFalse(fixture.watch.grantLeases("vm-c").primaries().getFirst().granted());
   }
 
+  /**
+   * Failure: a primary crashes, and starts again under another identifier while the promotion that
+   * was ordered has not taken effect. It claimed its role, VMs used it under leases on the new
+   * identifier, and writes were acknowledged by it after its successor had taken over.
+   */
+  @Test
+  void shouldNotGrantPrimaryThatReturnsUnderAnotherIdentifierWhileItIsReplaced() {
+    reachPrimary();
+    fixture.crashPrimary();
+    fixture.watch.release(SERVICE, "i-1", "vm-a");
+
+    fixture.group.targets.update(
+        List.of(
+            TestTargets.target("i-9", true, 9),
+            TestTargets.target("i-2", false, 2),
+            TestTargets.target("i-3", false, 3)));
+    fixture.watch.checkPrimaries();
+
+    KnownPrimary known = fixture.watch.grantLeases("vm-c").primaries().getFirst();
+    assertEquals("i-9", known.primary());
+    assertFalse(known.granted());
+  }
+
+  @Test
+  void shouldGrantTheSuccessorWhileThePrimaryIsReleased() {
+    reachPrimary();
+    fixture.crashPrimary();
+    fixture.watch.release(SERVICE, "i-1", "vm-a");
+
+    fixture.group.targets.update(
+        List.of(TestTargets.target("i-2", true, 8), TestTargets.target("i-3", false, 3)));
+    fixture.watch.checkPrimaries();
+
+    KnownPrimary known = fixture.watch.grantLeases("vm-c").primaries().getFirst();
+    assertEquals("i-2", known.primary());
+    assertTrue(known.granted());
+  }
+
   /** The leases that a VM has granted are what the replacement has to wait for. */
   @Test
   void shouldReportLeasesThatAreStillValidWhenItReleasesThePrimary() {
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseGrantsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseGrantsTest.java
@@ -5,6 +5,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.Map;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 
 class LeaseGrantsTest {
@@ -26,7 +27,7 @@
 
   @Test
   void shouldReleaseOnlyTheGivenPrimaryAndForLimitedTime() {
-    grants.release(SERVICE, "i-1", "vm-a", 5_000);
+    grants.release(SERVICE, "i-1", "vm-a", Set.of("i-2"), 5_000);
 
     assertTrue(grants.isReleased(SERVICE, "i-1", 5_000));
     assertFalse(grants.isReleased(SERVICE, "i-2", 5_000));
@@ -36,8 +37,8 @@
   /** Two VMs may be about to replace the primary at once, and only one gives up. */
   @Test
   void shouldKeepReleaseForAnotherVmWhenOneResumes() {
-    grants.release(SERVICE, "i-1", "vm-a", 5_000);
-    grants.release(SERVICE, "i-1", "vm-b", 5_000);
+    grants.release(SERVICE, "i-1", "vm-a", Set.of("i-2"), 5_000);
+    grants.release(SERVICE, "i-1", "vm-b", Set.of("i-2"), 5_000);
 
     grants.resume(SERVICE, "vm-a");
     assertTrue(grants.isReleased(SERVICE, "i-1", 5_000));
@@ -45,4 +46,13 @@
     grants.resume(SERVICE, "vm-b");
     assertFalse(grants.isReleased(SERVICE, "i-1", 5_000));
   }
+
+  /** A primary that crashed and has started again may claim its role under another identifier. */
+  @Test
+  void shouldCoverTargetsThatWereNotKnownWhenThePrimaryWasReleased() {
+    grants.release(SERVICE, "i-1", "vm-a", Set.of("i-2"), 5_000);
+
+    assertTrue(grants.isReleased(SERVICE, "i-9", 5_000));
+    assertFalse(grants.isReleased(SERVICE, "i-9", 5_000 + LeaseGrants.RELEASE_VALID_MS));
+  }
 }
