--- a/gateway/src/main/java/io/lycheejunction/gateway/holder/SlotCount.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/holder/SlotCount.java
@@ -6,7 +6,13 @@
 /** Computes how many VMs of a failure domain hold connections to targets. */
 public final class SlotCount {
   /** The connections to one target that a holder needs to run statements in parallel. */
-  static final int CONNECTIONS_PER_HOLDER = 2;
+  static final int CONNECTIONS_PER_HOLDER = 3;
+
+  /** The fewest connections that a holder works with, so that its domain has a second holder. */
+  static final int MIN_CONNECTIONS_PER_HOLDER = 2;
+
+  /** With a second holder, the loss of one does not leave a failure domain without any. */
+  private static final int MIN_HOLDERS_PER_DOMAIN = 2;
 
   /** The most holders per failure domain, which bounds the messages that holders exchange. */
   static final int MAX_HOLDERS_PER_DOMAIN = 4;
@@ -27,10 +33,15 @@
     int count = MAX_HOLDERS_PER_DOMAIN;
     for (ServiceLimits limit : limits) {
       if (limit.maxConnections() > 0) {
-        int holders = (limit.maxConnections() - RESERVED_CONNECTIONS) / CONNECTIONS_PER_HOLDER;
-        count = Math.min(count, holders / Math.max(1, failureDomains));
+        count = Math.min(count, holdersPerDomain(limit.maxConnections(), failureDomains));
       }
     }
     return Math.max(1, count);
   }
+
+  private static int holdersPerDomain(int maxConnections, int failureDomains) {
+    int perDomain = (maxConnections - RESERVED_CONNECTIONS) / Math.max(1, failureDomains);
+    int most = perDomain / MIN_CONNECTIONS_PER_HOLDER;
+    return Math.max(perDomain / CONNECTIONS_PER_HOLDER, Math.min(MIN_HOLDERS_PER_DOMAIN, most));
+  }
 }
