Review, case 1: a promotion replaces a primary that it does not know of

The primary crashes, its successor crashes as soon as it leads and is back in half a second. The VMs fall back to the first primary, replace that one again with old votes, and go on at the real one, whose lead the promotion takes.

--- /dev/null
+++ b/review/1/run.sh
@@ -0,0 +1,17 @@
+#!/usr/bin/env bash
+# The primary crashes, and its successor as soon as it leads; TROUBLE=0 leaves both crashes out.
+# Exits with 1 if a write was acknowledged that a replaced primary committed, 0 if not, 2 if it could not run.
+set -u
+here=$(cd "$(dirname "$0")" && pwd)
+cd "$here/../.." || exit 2
+source bin/find-jdk || exit 2
+if [ ! -d review/target ] || [ ! -x target/runtime/bin/java ]; then
+  echo "run the build of deploy/system.toml and review/build.sh first" >&2
+  exit 2
+fi
+timeout -k 5 110 "$JAVA_HOME/bin/java" -cp review/target SuccessorCrash "$here/record.txt"
+status=$?
+case $status in
+  0 | 1) exit "$status" ;;
+  *) exit 2 ;;
+esac
--- a/review/standin/Group.java
+++ b/review/standin/Group.java
@@ -10,6 +10,12 @@
  */
 final class Group {
 
+  /** The time until a change of role is in the store: two ways of 3.4 ms and 4 ms there. */
+  private static final long REPORT_MS = 11;
+
+  /** How long a replaced primary goes on where it can reach the new one, in milliseconds. */
+  private static final long GOES_ON_MS = 1_000;
+
   /** One commit: the ids of the requests that wrote, and the values by item. */
   record Commit(long term, long number, List<String> ids, Map<String, String> writes, long atMs) {}
 
@@ -20,6 +26,12 @@
   private final Map<String, Instance> instances = new LinkedHashMap<>();
   private final java.util.Set<String> reached = java.util.concurrent.ConcurrentHashMap.newKeySet();
 
+  private final java.util.Set<String> committedAtReplaced =
+      java.util.concurrent.ConcurrentHashMap.newKeySet();
+  private volatile java.util.function.Consumer<String> onPromoted = id -> {};
+  private boolean replacedGoesOn;
+  private Instance leader;
+
   Group(Record record, Store store, String service, long promoteMs) {
     this.record = record;
     this.store = store;
@@ -27,6 +39,16 @@
     this.promoteMs = promoteMs;
   }
 
+  /** Sets whether a replaced primary goes on for a second or until it is told to step down. */
+  synchronized void setReplacedGoesOn(boolean goesOn) {
+    replacedGoesOn = goesOn;
+  }
+
+  /** Sets what runs right after each promotion has taken effect, with the id of the new primary. */
+  void setOnPromoted(java.util.function.Consumer<String> listener) {
+    onPromoted = listener;
+  }
+
   String service() {
     return service;
   }
@@ -46,6 +68,9 @@
 
   synchronized void add(Instance instance) {
     instances.put(instance.id(), instance);
+    if (instance.isPrimary()) {
+      leader = instance;
+    }
     register(instance);
   }
 
@@ -78,21 +103,86 @@
         });
   }
 
-  private synchronized void takeEffect(String id) {
-    Instance chosen = instances.get(id);
-    if (chosen.isPrimary()) {
-      record.line("platform", id + " is the primary already");
+  private void takeEffect(String id) {
+    synchronized (this) {
+      Instance chosen = instances.get(id);
+      if (chosen == leader) {
+        record.line("platform", id + " is the primary already");
+        return;
+      }
+      long term = newestTerm() + 1;
+      Instance replaced = leader;
+      leader = chosen;
+      for (Instance instance : instances.values()) {
+        boolean goesOn = replacedGoesOn && instance == replaced && !instance.isDark();
+        if (instance != chosen && !goesOn) {
+          instance.follow(chosen, term);
+        }
+      }
+      chosen.lead(term);
+      record.line(
+          "platform", id + " leads term " + term + " with " + chosen.received() + " commits");
+      if (replacedGoesOn && !replaced.isDark()) {
+        Thread.startVirtualThread(() -> stepDownLater(replaced));
+      }
+    }
+    report();
+    onPromoted.accept(id);
+  }
+
+  /** The instances report their roles; the report takes the way to the store and its answer. */
+  private void report() {
+    try {
+      Thread.sleep(REPORT_MS);
+    } catch (InterruptedException e) {
+      return;
+    }
+    all().stream().filter(instance -> !instance.isDark()).forEach(this::register);
+  }
+
+  private void stepDownLater(Instance replaced) {
+    try {
+      Thread.sleep(GOES_ON_MS);
+    } catch (InterruptedException e) {
       return;
     }
-    long term = newestTerm() + 1;
-    for (Instance instance : instances.values()) {
-      if (instance != chosen) {
-        instance.follow(chosen, term);
+    synchronized (this) {
+      if (replaced != leader && replaced.isPrimary()) {
+        replaced.follow(leader, leader.term());
+        register(replaced);
+      }
+    }
+  }
+
+  /** Makes a primary of a lower term a replica. */
+  synchronized void demote(Instance instance, long term) {
+    if (instance.isPrimary() && instance.term() < term) {
+      if (instance == leader) {
+        instance.stepDown();
+      } else {
+        instance.follow(leader, leader.term());
       }
+      register(instance);
     }
-    chosen.lead(term);
-    record.line("platform", id + " leads term " + term + " with " + chosen.received() + " commits");
-    instances.values().stream().filter(i -> !i.isDark()).forEach(this::register);
+  }
+
+  /** Makes an instance that was replaced while it was down a replica. */
+  synchronized void onRestarted(Instance instance) {
+    if (instance != leader) {
+      instance.follow(leader, leader.term());
+    }
+  }
+
+  /** Records a commit, and whether it was made at a primary that a promotion had replaced. */
+  synchronized void recordCommit(Instance instance, List<String> ids) {
+    if (instance != leader) {
+      committedAtReplaced.addAll(ids);
+      record.line(instance.id(), "was replaced before it commits " + ids);
+    }
+  }
+
+  boolean isCommittedAtReplaced(String requestId) {
+    return committedAtReplaced.contains(requestId);
   }
 
   /** Writes the registration of an instance, unless it is dark. */
--- a/review/standin/Instance.java
+++ b/review/standin/Instance.java
@@ -23,8 +23,9 @@
   private final String id;
   private final String zone;
   private final long lagMs;
-  private final ServerSocket server;
-  private final long bornMs = System.currentTimeMillis();
+  private final int port;
+  private volatile ServerSocket server;
+  private volatile long bornMs = System.currentTimeMillis();
   private final AtomicLong sequence = new AtomicLong();
   private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
   private volatile int registeredPort;
@@ -47,8 +48,9 @@
     this.lagMs = lagMs;
     this.primary = primary;
     this.server = new ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress());
-    this.registeredPort = server.getLocalPort();
-    Thread.startVirtualThread(this::accept);
+    this.port = server.getLocalPort();
+    this.registeredPort = port;
+    Thread.startVirtualThread(() -> accept(server));
   }
 
   String id() {
@@ -60,7 +62,7 @@
   }
 
   int port() {
-    return server.getLocalPort();
+    return port;
   }
 
   String registeredAddress() {
@@ -99,6 +101,21 @@
     record.line(id, "crashes");
   }
 
+  /** Starts again under the same id with its log, and as a replica if another was promoted. */
+  void restart() throws IOException {
+    ServerSocket listening = new ServerSocket();
+    listening.setReuseAddress(true);
+    listening.bind(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
+    server = listening;
+    bornMs = System.currentTimeMillis();
+    sequence.set(0);
+    dark = false;
+    group.onRestarted(this);
+    record.line(id, "is back as " + (isPrimary() ? "primary" : "replica"));
+    Thread.startVirtualThread(() -> accept(listening));
+    group.register(this);
+  }
+
   private static void close(AutoCloseable closeable) {
     try {
       closeable.close();
@@ -136,6 +153,10 @@
     term = newTerm;
   }
 
+  void stepDown() {
+    primary = false;
+  }
+
   void follow(Instance leader, long newTerm) {
     primary = false;
     if (!dark) {
@@ -150,10 +171,10 @@
     }
   }
 
-  private void accept() {
+  private void accept(ServerSocket listening) {
     try {
       while (true) {
-        Socket socket = server.accept();
+        Socket socket = listening.accept();
         socket.setTcpNoDelay(true);
         sockets.add(socket);
         Thread.startVirtualThread(() -> serve(socket));
@@ -326,7 +347,11 @@
         case "PREPARE" -> prepared.put(words[1], words[2]);
         case "DEALLOC" -> prepared.remove(words[1]);
         case "RESET" -> prepared.clear();
-        case "STATUS", "DEMOTE", "PAUSE", "RESUME" -> lines.add(status());
+        case "DEMOTE" -> {
+          group.demote(Instance.this, Long.parseLong(words[1]));
+          lines.add(status());
+        }
+        case "STATUS", "PAUSE", "RESUME" -> lines.add(status());
         case "READ" -> lines.add("ROW " + read(words[1]));
         case "WRITE" -> {
           return write(requestId, words[1], words[2]);
@@ -363,7 +388,8 @@
         commit = new Group.Commit(term, log.size() + 1L, ids, values, record.nowMs());
         log.add(commit);
       }
-      record.line(id, "commits " + ids);
+      group.recordCommit(Instance.this, ids);
+    record.line(id, "commits " + ids);
       replicate(commit);
       return true;
     }
--- a/review/standin/Site.java
+++ b/review/standin/Site.java
@@ -16,7 +16,7 @@
   static final String OWN = "logs";
   static final List<String> ZONES = List.of("a", "b", "c");
 
-  private static final long HEARTBEATS_LAPSE_MS = 3_600;
+  static final long HEARTBEATS_LAPSE_MS = 3_600;
 
   final Record record;
   final Path directory;
