--- a/review/standin/Group.java
+++ b/review/standin/Group.java
@@ -126,18 +126,19 @@
         Thread.startVirtualThread(() -> stepDownLater(replaced));
       }
     }
-    report();
+    List<Instance> reporting = all().stream().filter(instance -> !instance.isDark()).toList();
+    Thread.startVirtualThread(() -> report(reporting));
     onPromoted.accept(id);
   }
 
   /** The instances report their roles; the report takes the way to the store and its answer. */
-  private void report() {
+  private void report(List<Instance> reporting) {
     try {
       Thread.sleep(REPORT_MS);
     } catch (InterruptedException e) {
       return;
     }
-    all().stream().filter(instance -> !instance.isDark()).forEach(this::register);
+    reporting.forEach(this::register);
   }
 
   private void stepDownLater(Instance replaced) {
--- a/review/standin/Instance.java
+++ b/review/standin/Instance.java
@@ -198,20 +198,21 @@
   private void replicate(Group.Commit commit) {
     for (Instance other : group.all()) {
       if (other != this && !other.dark) {
-        Thread.startVirtualThread(() -> other.receiveLater(commit));
+        Thread.startVirtualThread(() -> other.receiveLater(this, commit));
       }
     }
   }
 
-  private void receiveLater(Group.Commit commit) {
+  /** Receives the log of the sender up to a commit, so that commits arrive in their order. */
+  private void receiveLater(Instance sender, Group.Commit commit) {
     try {
       Thread.sleep(lagMs);
     } catch (InterruptedException e) {
       return;
     }
     synchronized (group) {
-      if (!primary && commit.term() == term && commit.number() == log.size() + 1L) {
-        log.add(commit);
+      if (!primary && !dark && commit.term() == term && commit.number() > log.size()) {
+        log.addAll(List.copyOf(sender.log.subList(log.size(), (int) commit.number())));
       }
     }
   }
