Replace the primary that leads when a successor fails before its term is confirmed

Cause: Targets.primaryOf preferred a target with a confirmed term even when all claimants were gone. The primary crashed, its successor crashed before any VM had its term confirmed, and the VMs took the first one for the primary again. The votes on it still counted, so it was replaced once more at once; the failover lease and the releases named it, and leases on the successor, which came back meanwhile, went on to be granted while it was being replaced.

Ruled out: old votes as the cause (they only made the second promotion faster); an order carried out late (both took effect 1,000 ms after they were sent).

Change: among targets that are gone, a registration that claims the role counts with a term above all those that were confirmed before it was read. A release covers all targets that claim the role. A run that finds another primary lets VMs use the released one again only if that is the one which leads.

The tests of core, common and gateway passed.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -229,7 +229,7 @@
     Optional<Candidate> leader = answers.stream().filter(Candidate::primary).findFirst();
     if (leader.isPresent()) {
       leader.get().handle().recordPrimary(leader.get().term());
-      end("another target is already primary");
+      endAsLedBy(leader.get().handle(), "another target is already primary");
       return;
     }
     Optional<Candidate> best = answers.stream().max(Candidate.BY_POSITION);
@@ -283,9 +283,9 @@
       releaseThen(() -> awaitUnused(() -> orderPromotion(chosen)));
       return;
     }
-    if (orders == 0 && answersAgain()) {
-      release.withdraw(true);
-      end("the primary answers again");
+    Optional<TargetHandle> reached = reachedPrimary();
+    if (orders == 0 && !stepDownFirst && reached.isPresent()) {
+      endAsLedBy(reached.get(), "the primary answers again");
       return;
     }
     if (!failover.store().isCurrent(token)) {
@@ -341,6 +341,17 @@
     }
   }
 
+  /**
+   * Ends the run since a target leads that is reached. VMs may use the primary again that they have
+   * released if that is the one, unless a promotion may still take effect.
+   */
+  private void endAsLedBy(TargetHandle leader, String outcome) {
+    if (orders == 0 && leader.target().id().equals(previousId)) {
+      release.withdraw(firstTokenMs != NEVER);
+    }
+    end(outcome);
+  }
+
   private void retryOrder(Runnable next) {
     if (orders >= MAX_ORDERS) {
       end("too many promotion orders");
@@ -382,12 +393,12 @@
     }
   }
 
-  /** Returns whether a primary that was to be replaced as gone is reached again. */
-  private boolean answersAgain() {
-    return !stepDownFirst
-        && previousPrimary
-            .filter(handle -> handle.isPrimary() && !handle.isGone(now()))
-            .isPresent();
+  /**
+   * Returns the primary if it is reached. It may be another one than the run was started for, if
+   * that was replaced before.
+   */
+  private Optional<TargetHandle> reachedPrimary() {
+    return failover.targets().primaryOf(service).filter(handle -> !handle.isGone(now()));
   }
 
   private long now() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -183,9 +183,15 @@
         failover.vm(), true, knowsAllGrants(), leases.grants().remainingMs(service, now()));
   }
 
+  /**
+   * Returns the targets that may be promoted in place of a primary. The other VM may not know yet
+   * that the primary was replaced, so no target that claims the role counts as a successor.
+   */
   private Set<String> successorsOf(String primary) {
     Set<String> ids = new HashSet<>();
-    failover.targets().of(service).forEach(handle -> ids.add(handle.target().id()));
+    failover.targets().of(service).stream()
+        .filter(handle -> !handle.isPrimary())
+        .forEach(handle -> ids.add(handle.target().id()));
     ids.remove(primary);
     return ids;
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -29,6 +29,7 @@
   private Target target;
   private final TargetPool pool;
   private long claimedAtRevision;
+  private long claimedTerm;
   private double latencyMs = INITIAL_LATENCY_MS;
   private long avoidUntilMs = Long.MIN_VALUE;
   private long laggingUntilMs = Long.MIN_VALUE;
@@ -40,11 +41,12 @@
   private LogPosition applied = LogPosition.ORIGIN;
   private FailureDetector failureDetector;
 
-  TargetHandle(Target target, TargetPool pool, long nowMs) {
+  TargetHandle(Target target, TargetPool pool, long newestProvenTerm, long nowMs) {
     this.failureDetector = FailureDetector.initial(nowMs);
     this.target = target;
     this.pool = pool;
     this.claimedAtRevision = target.claimsPrimary() ? target.revision() : Long.MIN_VALUE;
+    this.claimedTerm = newestProvenTerm + 1;
   }
 
   /**
@@ -267,9 +269,19 @@
     return claimedAtRevision;
   }
 
-  void update(Target newer) {
+  /**
+   * Returns the term in which the target leads by the latest evidence: the one that it has
+   * confirmed, or else the lowest one that its registration can stand for. A registration that
+   * claims the role is written after a promotion, so its term is newer than all confirmed before.
+   */
+  long presumedTerm() {
+    return provenTerm > 0 ? provenTerm : claimedTerm;
+  }
+
+  void update(Target newer, long newestProvenTerm) {
     if (newer.claimsPrimary() && !target.claimsPrimary()) {
       claimedAtRevision = newer.revision();
+      claimedTerm = newestProvenTerm + 1;
     }
     if (!newer.claimsPrimary() && target.claimsPrimary()) {
       provenTerm = 0;
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -149,7 +149,9 @@
    *
    * <p>If several targets claim to be primary, one that is not gone takes precedence, then the one
    * with the highest confirmed term, then the one whose registration made the claim last.
-   * Registrations come last because they may be out of date.
+   * Registrations come last because they may be out of date. If all of them are gone, none can
+   * confirm its term any more, and a registration made after the last confirmation counts as newer:
+   * a successor may have failed before it confirmed its term.
    *
    * @param service the service
    * @return the primary, or empty if no target claims to be primary
@@ -160,10 +162,14 @@
         .filter(TargetHandle::isPrimary)
         .max(
             Comparator.comparing((TargetHandle handle) -> !handle.isGone(nowMs))
-                .thenComparingLong(TargetHandle::provenTerm)
+                .thenComparingLong(handle -> termOf(handle, nowMs))
                 .thenComparingLong(TargetHandle::claimedAtRevision));
   }
 
+  private static long termOf(TargetHandle handle, long nowMs) {
+    return handle.isGone(nowMs) ? handle.presumedTerm() : handle.provenTerm();
+  }
+
   /**
    * Returns all targets.
    *
@@ -198,7 +204,7 @@
     }
     if (known != null && known.target().isSameIncarnation(target)) {
       logChange(known.target(), target);
-      known.update(target);
+      known.update(target, newestProvenTerm(target.service()));
       return;
     }
     if (known != null) {
@@ -228,7 +234,15 @@
             connectionShareOf(target.service()),
             () -> onConnecting(target.id()),
             fault -> onConnectFault(target.id(), fault));
-    return new TargetHandle(target, pool, scheduler.nowMs());
+    return new TargetHandle(target, pool, newestProvenTerm(target.service()), scheduler.nowMs());
+  }
+
+  private long newestProvenTerm(String service) {
+    return byId.values().stream()
+        .filter(handle -> handle.target().service().equals(service))
+        .mapToLong(TargetHandle::provenTerm)
+        .max()
+        .orElse(0);
   }
 
   /**
