End transactions at a planned stop once their running statement is answered

Cause: at the half of the shutdown time Gateway.expireTransactions skipped each session with a running statement, and nothing ended its transaction afterwards. It went on until the process exited in the middle of a later statement.

Ruled out: an exit that is too early; a later one would cut off another statement of the same transaction.

Change: such a transaction ends as soon as its running statement is answered; the next statement is answered with ROLLED_BACK. New work is refused with SHUTTING_DOWN from then on, also of sessions that were opened during the shutdown, and statements that were queued are not run.

--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -42,8 +42,11 @@
   private boolean busy;
   private boolean closed;
 
-  /** True until the caller is told that its transaction has expired. */
-  private boolean expired;
+  /** Why the transaction was ended, until the caller is told. */
+  private Optional<Fault> endedBecause = Optional.empty();
+
+  /** True if the transaction is ended once its running statement is answered. */
+  private boolean endsAfterStatement;
 
   CallerSession(Gateway gateway, CallerLink link, String database, Origin origin) {
     this.gateway = gateway;
@@ -135,10 +138,18 @@
     link.close();
   }
 
-  /** Fails the open transaction unless one of its statements is running. */
-  void expireTransaction() {
-    if (transaction != null && !busy) {
-      expired = true;
+  /** Fails the open transaction for the shutdown, once its running statement is answered. */
+  void endTransactionForShutdown() {
+    if (busy) {
+      endsAfterStatement = true;
+    } else {
+      expireTransaction("this VM shuts down");
+    }
+  }
+
+  private void expireTransaction(String cause) {
+    if (transaction != null && !transaction.isFailed()) {
+      endedBecause = Optional.of(Fault.of(ResultCode.ROLLED_BACK, cause));
       transaction.expire();
     }
   }
@@ -192,17 +203,14 @@
   }
 
   private void handleInFailedTransaction(CallerStatement statement) {
-    boolean justExpired = expired;
-    expired = false;
+    Optional<Fault> untold = endedBecause;
+    endedBecause = Optional.empty();
     if (statement instanceof CallerStatement.Commit) {
       endTransaction();
       refuse(Fault.of(ResultCode.ROLLED_BACK, "the transaction had failed before the commit"));
       return;
     }
-    refuse(
-        justExpired
-            ? Fault.of(ResultCode.ROLLED_BACK, "the transaction was idle for too long")
-            : Fault.of(ResultCode.TRANSACTION_FAILED, "the transaction has failed"));
+    refuse(untold.orElse(Fault.of(ResultCode.TRANSACTION_FAILED, "the transaction has failed")));
   }
 
   private void handleLocally(CallerStatement statement) {
@@ -226,18 +234,17 @@
   }
 
   private Optional<Route> routeOf(Query query) {
-    if (origin == Origin.CALLER) {
-      return gateway.route(database);
+    if (!gateway.acceptsWork(origin)) {
+      return Optional.empty();
     }
-    return gateway.acceptsForwarded()
-        ? query.forwarded().map(ForwardedContext::route)
-        : Optional.empty();
+    return switch (origin) {
+      case CALLER -> gateway.route(database);
+      case VM -> query.forwarded().map(ForwardedContext::route);
+    };
   }
 
   private Fault noRoute() {
-    return origin == Origin.CALLER
-        ? Gateway.unknownDatabase(database)
-        : Fault.of(ResultCode.SHUTTING_DOWN, "this VM takes no new work");
+    return gateway.acceptsWork(origin) ? Gateway.unknownDatabase(database) : Gateway.noNewWork();
   }
 
   private void runPrepared(
@@ -308,6 +315,10 @@
     if (closed) {
       return;
     }
+    if (endsAfterStatement) {
+      endsAfterStatement = false;
+      expireTransaction("this VM shuts down");
+    }
     Query nextQuery = queue.pollFirst();
     if (nextQuery != null) {
       handle(nextQuery);
@@ -322,7 +333,11 @@
   private void startIdleTimer() {
     long idleMs = gateway.idleTransactionMs();
     if (idleMs > 0) {
-      idleTimer = gateway.dispatch().scheduler().schedule(idleMs, this::expireTransaction);
+      idleTimer =
+          gateway
+              .dispatch()
+              .scheduler()
+              .schedule(idleMs, () -> expireTransaction("the transaction was idle for too long"));
     }
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -32,6 +32,7 @@
   private RouteTable routes = RouteTable.empty();
   private boolean closing;
   private boolean refusingForwarded;
+  private boolean refusingCallers;
 
   /**
    * Creates a gateway without sessions.
@@ -50,6 +51,10 @@
    * @return the session, which may still wait for the configuration, or empty if it was rejected
    */
   public Optional<CallerSession> open(CallerLink link, String database) {
+    if (refusingCallers) {
+      link.reject(noNewWork());
+      return Optional.empty();
+    }
     if (!isReady()) {
       return waitForConfiguration(link, database);
     }
@@ -218,11 +223,14 @@
   }
 
   /**
-   * Returns whether forwarded statements are accepted. A VM that forwards statements itself accepts
-   * none, so that no statement is forwarded twice.
+   * Returns whether single statements and new transactions are accepted. A VM that forwards
+   * statements itself accepts none from others, so that no statement is forwarded twice.
    */
-  boolean acceptsForwarded() {
-    return !refusingForwarded && !dispatch.role().isForwarding();
+  boolean acceptsWork(Origin origin) {
+    return switch (origin) {
+      case CALLER -> !refusingCallers;
+      case VM -> !refusingForwarded && !dispatch.role().isForwarding();
+    };
   }
 
   /** Closes the callers' sessions that are idle now. */
@@ -230,10 +238,15 @@
     List.copyOf(sessions).stream().filter(CallerSession::isIdle).forEach(CallerSession::close);
   }
 
-  /** Fails transactions that wait for their caller, so that their sessions can be closed. */
-  public void expireTransactions() {
-    List.copyOf(sessions).forEach(CallerSession::expireTransaction);
-    List.copyOf(forwarded).forEach(CallerSession::expireTransaction);
+  /**
+   * Ends all transactions and accepts no work from now on, so that nothing is cut off at the exit
+   * of the process. A running statement is answered before its transaction ends.
+   */
+  public void endTransactions() {
+    refusingForwarded = true;
+    refusingCallers = true;
+    List.copyOf(sessions).forEach(CallerSession::endTransactionForShutdown);
+    List.copyOf(forwarded).forEach(CallerSession::endTransactionForShutdown);
   }
 
   DispatchContext dispatch() {
@@ -259,6 +272,10 @@
     }
   }
 
+  static Fault noNewWork() {
+    return Fault.of(ResultCode.SHUTTING_DOWN, "this VM takes no new work");
+  }
+
   static Fault unknownDatabase(String database) {
     return Fault.of(ResultCode.UNKNOWN_SERVICE, "no database " + database);
   }
