Do not use a primary whose term is older than one that another target has confirmed

What callers would see: a primary is cut off and replaced, its successor fails, and the cut ends.

Cause: Targets.primaryOf looked at what can be reached before it looked at terms, and an answer of a target that it is the primary was believed without the terms that the others know.

Change: a target whose term is lower than a confirmed one of another target is not the primary. When targets are asked, only the primary of the newest term that any of them knows counts. A primary that was just found is granted only after the targets were asked once if another one has registered the role later. A run tells primaries of older terms to step down before it orders a promotion.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -226,15 +226,18 @@
       return;
     }
     answeredCandidates.addAll(answers);
-    Optional<Candidate> leader = answers.stream().filter(Candidate::primary).findFirst();
+    StatusAnswers statuses = new StatusAnswers(answers);
+    Optional<Candidate> leader = statuses.leader().filter(found -> !isReplaced(found));
     if (leader.isPresent()) {
       leader.get().handle().recordPrimary(leader.get().term());
       endAsLedBy(leader.get().handle(), "another target is already primary");
       return;
     }
-    Optional<Candidate> best = answers.stream().max(Candidate.BY_POSITION);
-    logCandidates(answers, best);
-    boolean enough = answers.size() >= requiredAnswers();
+    stepDownReplaced(answers, statuses.newestTerm());
+    List<Candidate> replicas = statuses.replicas();
+    Optional<Candidate> best = replicas.stream().max(Candidate.BY_POSITION);
+    logCandidates(replicas, best);
+    boolean enough = replicas.size() >= requiredAnswers();
     boolean behind = best.isEmpty() || !best.get().received().isAtLeast(requiredPosition);
     if ((!enough || behind) && now() - startMs < CATCH_UP_TIMEOUT_MS) {
       failover.scheduler().schedule(CATCH_UP_POLL_MS, this::selectCandidate);
@@ -245,6 +248,39 @@
     }
   }
 
+  /** Returns whether a primary leads an older term than the one that is being replaced. */
+  private boolean isReplaced(Candidate primary) {
+    return previousPrimary.filter(handle -> primary.term() < handle.provenTerm()).isPresent();
+  }
+
+  /**
+   * Tells primaries that were replaced before to step down, so that they can be promoted. Only
+   * those of older terms are left when no leader was found.
+   */
+  private void stepDownReplaced(List<Candidate> answers, long newestTerm) {
+    List<TargetHandle> replaced =
+        answers.stream().filter(Candidate::primary).map(Candidate::handle).toList();
+    if (replaced.isEmpty()) {
+      return;
+    }
+    replaced.forEach(TargetHandle::recordReplaced);
+    StatusRound.start(
+        failover.scheduler(),
+        failover.linkOpener(),
+        replaced,
+        new TargetCommand.StepDown(Math.max(nextTerm(), newestTerm + 1)),
+        STEP_DOWN_TIMEOUT_MS,
+        stopped ->
+            LOG.info(
+                "replaced_primaries_stepped_down",
+                "service",
+                service,
+                "targets",
+                replaced.size(),
+                "answered",
+                stopped.size()));
+  }
+
   /** Returns how many replicas must answer so that one of them has every acknowledged commit. */
   private int requiredAnswers() {
     if (!isSynchronous()) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -10,7 +10,6 @@
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
-import java.util.Comparator;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
@@ -69,6 +68,10 @@
   private boolean statusInFlight;
   private long primaryFoundMs;
   private boolean awaitingFirstLease;
+
+  /** True until all targets were asked whether the primary that was just found was replaced. */
+  private boolean inDoubt;
+
   private long earliestStartMs = Long.MIN_VALUE;
   private long goneSinceMs = NOT_GONE;
   private FailoverRun run;
@@ -91,7 +94,8 @@
       return checkWithoutPrimary();
     }
     TargetHandle handle = primary.get();
-    if (failover.leases().use().needsLease() && isContested(handle)) {
+    boolean mayBeWrong = failover.leases().use().needsLease() || handle.isGone(now());
+    if (mayBeWrong && isContested(handle)) {
       findPrimary();
     }
     probe.probeIfDue(handle);
@@ -214,6 +218,7 @@
             .filter(lease -> lease.isHeld(now()) && lease.previous().equals(id))
             .isPresent();
     return !handle.isGone(now())
+        && !inDoubt
         && !lastVote.equals(Optional.of(true))
         && !beingReplaced
         && !failover.leases().grants().isReleased(service, id, now());
@@ -242,6 +247,7 @@
       earliestStartMs = Long.MIN_VALUE;
       primaryFoundMs = now();
       awaitingFirstLease = true;
+      inDoubt = failover.targets().hasNewerClaim(primary.get());
       if (run != null) {
         run.complete(id.get());
       }
@@ -318,22 +324,38 @@
 
   private void onStatuses(List<Candidate> answers) {
     statusInFlight = false;
-    answers.stream()
-        .filter(Candidate::primary)
-        .max(Comparator.comparingLong(Candidate::term))
-        .ifPresent(
-            leader -> {
-              LOG.info(
-                  "primary_asked",
-                  "service",
-                  service,
-                  "target",
-                  leader.handle().target().id(),
-                  "term",
-                  leader.term());
-              leader.handle().recordPrimary(leader.term());
-              check();
-            });
+    final boolean wasInDoubt = inDoubt;
+    inDoubt = false;
+    StatusAnswers statuses = new StatusAnswers(answers);
+    statuses.replaced().forEach(this::onReplaced);
+    Optional<Candidate> leader = statuses.leader();
+    leader.ifPresent(
+        found -> {
+          LOG.info(
+              "primary_asked",
+              "service",
+              service,
+              "target",
+              found.handle().target().id(),
+              "term",
+              found.term());
+          found.handle().recordPrimary(found.term());
+        });
+    if (leader.isPresent() || !statuses.replaced().isEmpty() || wasInDoubt) {
+      check();
+    }
+  }
+
+  private void onReplaced(Candidate replaced) {
+    LOG.info(
+        "primary_outdated",
+        "service",
+        service,
+        "target",
+        replaced.handle().target().id(),
+        "term",
+        replaced.term());
+    replaced.handle().recordReplaced();
   }
 
   private void updateVote(TargetHandle handle, boolean gone) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -225,10 +225,7 @@
     switch (fault.code()) {
       case TARGET_BUSY, TARGET_CONNECTIONS_FULL -> avoidUntilMs = nowMs + BUSY_AVOID_MS;
       case NOT_FRESH -> laggingUntilMs = nowMs + LAGGING_AVOID_MS;
-      case NOT_PRIMARY -> {
-        notPrimaryUntilRevision = target.revision();
-        provenTerm = 0;
-      }
+      case NOT_PRIMARY -> recordReplaced();
       case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION, SHUTTING_DOWN ->
           avoidUntilMs = nowMs + UNREACHABLE_AVOID_MS;
       default -> {
@@ -246,6 +243,15 @@
     provenTerm = term;
   }
 
+  /**
+   * Records that the target is not the primary any more, even if it still claims to be. A later
+   * registration or confirmation counts again.
+   */
+  public void recordReplaced() {
+    notPrimaryUntilRevision = target.revision();
+    provenTerm = 0;
+  }
+
   /**
    * Returns the term in which the target has confirmed that it is primary and has not since lost
    * that role.
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -147,25 +147,45 @@
   /**
    * Returns the known primary of a service.
    *
-   * <p>If several targets claim to be primary, one that is not gone takes precedence, then the one
-   * with the highest confirmed term, then the one whose registration made the claim last.
-   * Registrations come last because they may be out of date. If all of them are gone, none can
-   * confirm its term any more, and a registration made after the last confirmation counts as newer:
-   * a successor may have failed before it confirmed its term.
+   * <p>A target whose term is lower than one that another has confirmed was replaced, and is not
+   * the primary even if it still claims to be and the other one is gone. If several others claim to
+   * be primary, one that is not gone takes precedence, then the one with the highest confirmed
+   * term, then the one whose registration made the claim last. Registrations come last because they
+   * may be out of date. If all of them are gone, none can confirm its term any more, and a
+   * registration made after the last confirmation counts as newer: a successor may have failed
+   * before it confirmed its term.
    *
    * @param service the service
    * @return the primary, or empty if no target claims to be primary
    */
   public Optional<TargetHandle> primaryOf(String service) {
     long nowMs = scheduler.nowMs();
+    long newestTerm = newestProvenTerm(service);
     return of(service).stream()
         .filter(TargetHandle::isPrimary)
+        .filter(handle -> handle.presumedTerm() >= newestTerm)
         .max(
             Comparator.comparing((TargetHandle handle) -> !handle.isGone(nowMs))
                 .thenComparingLong(handle -> termOf(handle, nowMs))
                 .thenComparingLong(TargetHandle::claimedAtRevision));
   }
 
+  /**
+   * Returns whether another target has registered itself as primary after a target did, so that it
+   * may have replaced it.
+   *
+   * @param primary the target
+   * @return true if a newer claim of another target is known and not disproved
+   */
+  public boolean hasNewerClaim(TargetHandle primary) {
+    return of(primary.target().service()).stream()
+        .filter(handle -> handle != primary && handle.isPrimary())
+        .anyMatch(
+            handle ->
+                handle.claimedAtRevision() > primary.claimedAtRevision()
+                    && handle.presumedTerm() > primary.presumedTerm());
+  }
+
   private static long termOf(TargetHandle handle, long nowMs) {
     return handle.isGone(nowMs) ? handle.presumedTerm() : handle.provenTerm();
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
@@ -71,6 +71,18 @@
       return answer(successReply(state, new LogPosition(term, offset)));
     }
 
+    /** Answers the oldest unanswered command with the status of a primary. */
+    public TargetCommand statusOfPrimary(long term, long offset) {
+      LogPosition position = new LogPosition(term, offset);
+      return answer(
+          new LinkReply(
+              List.of(PRIMARY),
+              Optional.of("signature"),
+              Optional.empty(),
+              TransactionState.NONE,
+              Optional.of(position)));
+    }
+
     /** Answers the oldest unanswered command with a fault and returns the command. */
     public TargetCommand fault(ResultCode code, TransactionState state) {
       return answer(faultReply(code, state));
@@ -97,6 +109,8 @@
     }
   }
 
+  private static final String PRIMARY = "primary";
+
   private final List<FakeLink> opened = new ArrayList<>();
 
   @Override
@@ -108,7 +122,10 @@
 
   @Override
   public Optional<StatusReport> statusOf(LinkReply reply) {
-    return reply.position().map(position -> new StatusReport(false, position.term(), position, 1));
+    boolean primary = reply.rows().contains(PRIMARY);
+    return reply
+        .position()
+        .map(position -> new StatusReport(primary, position.term(), position, 1));
   }
 
   /** Returns all connections, in the order in which they were opened. */
