Count the age of a failover lease from its request, and check it again when an order is sent

Cause: the age of the lease counted from the handling of its answer, nothing looked at the lease again before the order, and nothing when the order was written to a connection. A gap of the clock did not end a failover in progress.

Change: RunLease counts from the request and treats a lease from before a gap of the clock as expired; a newer lease that was read ends the run; both are checked again right before the order is written. The same for the release of the primary by other VMs and for votes of VMs that were asked directly. FailoverRun's lease is a class of its own.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -24,12 +24,10 @@
  */
 final class FailoverRun {
   private static final EventLog LOG = EventLog.of(FailoverRun.class);
-  private static final long NEVER = Long.MIN_VALUE;
   private static final long STATUS_TIMEOUT_MS = 200;
   private static final long STEP_DOWN_TIMEOUT_MS = 300;
   private static final long CATCH_UP_TIMEOUT_MS = 600;
   private static final long CATCH_UP_POLL_MS = 25;
-  private static final long MAX_TOKEN_AGE_MS = 1_000;
   private static final long ORDER_RETRY_DELAY_MS = 200;
   private static final int MAX_ORDERS = 5;
   private static final long PROMOTION_TIMEOUT_MS = 4_000;
@@ -41,11 +39,9 @@
   private final String previousId;
   private final boolean stepDownFirst;
   private final PrimaryRelease release;
+  private final RunLease lease;
   private final Set<String> rejectedTargetIds = new HashSet<>();
   private final List<Candidate> answeredCandidates = new ArrayList<>();
-  private long token;
-  private long firstTokenMs = NEVER;
-  private long tokenAcquiredMs;
   private long startMs;
   private long lastOrderMs;
   private int orders;
@@ -67,6 +63,7 @@
     this.previousId = previousId;
     this.stepDownFirst = stepDownFirst;
     this.release = new PrimaryRelease(failover, service, previousId, ownRelease);
+    this.lease = new RunLease(failover, service, previousId, reason);
   }
 
   void start() {
@@ -97,40 +94,18 @@
     }
   }
 
-  /** Another process may have acquired the lease since the run was started. */
   private void acquireLease(Runnable next) {
-    boolean heldByOther =
-        failover
-            .store()
-            .lease(service)
-            .filter(lease -> lease.isHeld(now()) && !lease.holder().equals(failover.holder()))
-            .isPresent();
-    if (heldByOther) {
-      end("no lease: another process holds the lease");
-      return;
-    }
-    failover
-        .store()
-        .acquireLease(
-            service,
-            failover.holder(),
-            previousId,
-            claim -> {
-              switch (claim) {
-                case FailoverStore.LeaseResult.Acquired acquired -> {
-                  token = acquired.token();
-                  tokenAcquiredMs = now();
-                  if (firstTokenMs == NEVER) {
-                    firstTokenMs = now();
-                  }
-                  LOG.info(
-                      "failover_lease_taken", "service", service, "token", token, "reason", reason);
-                  next.run();
-                }
-                case FailoverStore.LeaseResult.NotAcquired notAcquired ->
-                    end("no lease: " + notAcquired.reason());
-              }
-            });
+    lease.acquire(next, cause -> end("no lease: " + cause));
+  }
+
+  /** Treats what the run has acquired as expired, since the clock may have missed time. */
+  void onClockGap(long nowMs) {
+    lease.onClockGap(nowMs);
+  }
+
+  /** Checked right before an order leaves, as this process may have been suspended. */
+  private boolean mayOrder() {
+    return !ended && lease.isFresh() && !lease.isLost() && !release.isOutdated();
   }
 
   /** Continues once a quorum has released the previous primary. */
@@ -138,13 +113,13 @@
     release.request(
         () -> continueRun(next),
         () -> {
-          release.withdraw(firstTokenMs != NEVER);
+          release.withdraw(lease.wasAcquired());
           end("primary not released by enough VMs");
         });
   }
 
   private void awaitUnused(Runnable next) {
-    release.awaitUnused(firstTokenMs, () -> continueRun(next));
+    release.awaitUnused(lease.firstAcquiredMs(), () -> continueRun(next));
   }
 
   private void continueRun(Runnable next) {
@@ -308,11 +283,15 @@
   }
 
   private void orderPromotion(TargetHandle chosen) {
-    if (now() - tokenAcquiredMs > MAX_TOKEN_AGE_MS) {
-      acquireLease(() -> orderPromotion(chosen));
+    if (ended) {
       return;
     }
-    if (ended) {
+    if (lease.isLost()) {
+      end("the lease was acquired again, or lost in a restore of the store");
+      return;
+    }
+    if (!lease.isFresh()) {
+      acquireLease(() -> orderPromotion(chosen));
       return;
     }
     if (release.isOutdated()) {
@@ -324,10 +303,6 @@
       endAsLedBy(reached.get(), "the primary answers again");
       return;
     }
-    if (!failover.store().isCurrent(token)) {
-      end("the store was restored after the lease was acquired");
-      return;
-    }
     orders++;
     lastOrderMs = now();
     failover.gate().onPromotionOrdered(service);
@@ -338,7 +313,7 @@
         "target",
         chosen.target().id(),
         "token",
-        token,
+        lease.token(),
         "reason",
         reason,
         "since_start_ms",
@@ -346,9 +321,8 @@
     failover
         .orders()
         .promote(
-            chosen.target(),
-            failover.holder(),
-            token,
+            new PromotionOrders.Order(chosen.target(), failover.holder(), lease.token()),
+            this::mayOrder,
             outcome -> onPromotionReply(chosen, outcome));
   }
 
@@ -360,7 +334,7 @@
         "target",
         chosen.target().id(),
         "token",
-        token,
+        lease.token(),
         "outcome",
         outcome);
     if (ended) {
@@ -383,7 +357,7 @@
    */
   private void endAsLedBy(TargetHandle leader, String outcome) {
     if (orders == 0 && leader.target().id().equals(previousId)) {
-      release.withdraw(firstTokenMs != NEVER);
+      release.withdraw(lease.wasAcquired());
     }
     end(outcome);
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PeerVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PeerVotes.java
@@ -19,7 +19,7 @@
   /** The maximum number of requests in flight. */
   static final int MAX_REQUESTS = 12;
 
-  /** How long a vote is valid after it was received, in milliseconds. */
+  /** How long a vote is valid after it was requested, in milliseconds. */
   static final long VOTE_VALID_MS = 700;
 
   /** The minimum interval between two requests to the same VM, in milliseconds. */
@@ -29,7 +29,7 @@
 
   private record Reply(long requestedMs, long receivedMs, PeerAnswer<Vote> answer) {
     private boolean isValid(long nowMs) {
-      return answer instanceof PeerAnswer.Silent<Vote> || nowMs - receivedMs <= VOTE_VALID_MS;
+      return answer instanceof PeerAnswer.Silent<Vote> || nowMs - requestedMs <= VOTE_VALID_MS;
     }
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
@@ -16,7 +16,10 @@
 final class PrimaryRelease {
   private static final EventLog LOG = EventLog.of(PrimaryRelease.class);
 
-  /** The maximum age of the VMs' release when a promotion is ordered, in milliseconds. */
+  /**
+   * The maximum age of the VMs' release when a promotion is ordered, in milliseconds. It counts
+   * from the request, as the replies may have been read late.
+   */
   private static final long MAX_AGE_MS = 1_500;
 
   /**
@@ -25,8 +28,6 @@
    */
   private static final long OBJECTION_WAIT_MS = 100;
 
-  private static final long NOT_RELEASED = Long.MIN_VALUE;
-
   private final FailoverContext failover;
   private final String service;
   private final String primary;
@@ -34,7 +35,7 @@
   private Optional<ReleaseRound> round = Optional.empty();
   private Optional<Wait> wait = Optional.empty();
   private long requestedMs;
-  private long releasedMs = NOT_RELEASED;
+  private boolean released;
   private boolean needed;
   private boolean denied;
 
@@ -72,7 +73,7 @@
 
   /** Returns whether the release is too old to order a promotion, so that it is requested again. */
   boolean isOutdated() {
-    return releasedMs != NOT_RELEASED && now() - releasedMs > MAX_AGE_MS;
+    return released && now() - requestedMs > MAX_AGE_MS;
   }
 
   /**
@@ -191,7 +192,7 @@
 
     @Override
     public void onQuorum() {
-      releasedMs = now();
+      released = true;
       onReleased.run();
     }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -68,6 +68,15 @@
     updateIsolation();
   }
 
+  /**
+   * Treats what this VM has acquired as expired, since its clock may have missed time.
+   *
+   * @param nowMs the present time, in milliseconds
+   */
+  public void onClockGap(long nowMs) {
+    watches.values().forEach(watch -> watch.onClockGap(nowMs));
+  }
+
   /**
    * Returns whether this VM is isolated: for some time it has reached neither the store nor more
    * than half of the primaries.
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PromotionOrders.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PromotionOrders.java
@@ -1,6 +1,8 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.gateway.target.Target;
+import java.util.Objects;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Sends promotion orders to the platform. */
@@ -28,12 +30,27 @@
   }
 
   /**
-   * Orders the promotion of a target to primary of its service.
+   * An order to promote a target to primary of its service.
    *
    * @param target the target to promote
    * @param holder the name of the process that holds the lease
    * @param token the fencing token of the lease
+   */
+  record Order(Target target, String holder, long token) {
+    /** Rejects null components. */
+    public Order {
+      Objects.requireNonNull(target, "target is null");
+      Objects.requireNonNull(holder, "holder is null");
+    }
+  }
+
+  /**
+   * Sends an order.
+   *
+   * @param order the order
+   * @param maySend asked right before the order is written to the connection, which may take some
+   *     time to open; if it returns false, the order is not sent and its outcome is unknown
    * @param done is called once with the result
    */
-  void promote(Target target, String holder, long token, Consumer<Outcome> done);
+  void promote(Order order, BooleanSupplier maySend, Consumer<Outcome> done);
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -187,6 +187,12 @@
         failover.vm(), true, knowsAllGrants(), leases.grants().remainingMs(service, now()));
   }
 
+  void onClockGap(long nowMs) {
+    if (run != null) {
+      run.onClockGap(nowMs);
+    }
+  }
+
   /**
    * Returns the targets that may be promoted in place of a primary. The other VM may not know yet
    * that the primary was replaced, so no target that claims the role counts as a successor.
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -14,7 +14,6 @@
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.peer.PeerAnswer;
-import io.lycheejunction.gateway.target.Target;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -24,6 +23,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 /** Runs failover on VM vm-b, beside vm-a and vm-c, for the group of {@link DispatchFixture}. */
@@ -32,7 +32,8 @@
   private static final long FIRST_TOKEN = 10;
 
   /** A promotion order and the callback for its result. */
-  record Order(String target, long token, Consumer<PromotionOrders.Outcome> done) {}
+  record Order(
+      String target, long token, BooleanSupplier maySend, Consumer<PromotionOrders.Outcome> done) {}
 
   /** A store whose votes and lease are set by the test. */
   static final class FakeStore implements FailoverStore {
@@ -43,6 +44,11 @@
     Optional<Lease> lease = Optional.empty();
     boolean reachable = true;
     boolean leaseTaken;
+
+    /** Whether leases are granted without an answer; {@link #answerLeases} delivers the answers. */
+    boolean withholdsLeases;
+
+    private final List<Runnable> withheldLeases = new ArrayList<>();
     boolean failNextRead;
 
     /** Whether votes are written, but none is read, since the connection has gone silent. */
@@ -95,10 +101,21 @@
     @Override
     public void acquireLease(
         String service, String holder, String previous, Consumer<LeaseResult> done) {
-      done.accept(
-          leaseTaken
-              ? new LeaseResult.NotAcquired("taken")
-              : new LeaseResult.Acquired(nextToken++));
+      LeaseResult result =
+          leaseTaken ? new LeaseResult.NotAcquired("taken") : new LeaseResult.Acquired(nextToken++);
+      if (withholdsLeases) {
+        withheldLeases.add(() -> done.accept(result));
+      } else {
+        done.accept(result);
+      }
+    }
+
+    /** Delivers the answers that were withheld, and withholds none from now on. */
+    void answerLeases() {
+      withholdsLeases = false;
+      List<Runnable> answers = List.copyOf(withheldLeases);
+      withheldLeases.clear();
+      answers.forEach(Runnable::run);
     }
   }
 
@@ -211,8 +228,10 @@
   }
 
   private void promote(
-      Target target, String holder, long token, Consumer<PromotionOrders.Outcome> done) {
-    orders.add(new Order(target.id(), token, done));
+      PromotionOrders.Order order,
+      BooleanSupplier maySend,
+      Consumer<PromotionOrders.Outcome> done) {
+    orders.add(new Order(order.target().id(), order.token(), maySend, done));
   }
 
   /** Adds votes of both other VMs on the primary i-1. */
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/PrimaryReleaseTest.java
@@ -19,6 +19,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -480,4 +481,27 @@
     assertFalse(fixture.store.hasLease());
     assertTrue(fixture.orders.isEmpty());
   }
+
+  /**
+   * Guards against two primaries in use: this VM froze while the replies were on their way, and
+   * when it reads them the others may use the primary again.
+   */
+  @Test
+  void shouldAskAgainWhenTheRepliesWereReadTooLate() {
+    releases("vm-a", Map.of());
+    releases("vm-c", Map.of());
+    AtomicBoolean frozen = new AtomicBoolean();
+    fixture.leaseClient.onRelease =
+        () -> {
+          if (frozen.compareAndSet(false, true)) {
+            fixture.group.scheduler.advanceMs(LeaseGrants.RELEASE_VALID_MS + 500);
+          }
+        };
+
+    startRun();
+    answerStatusesUntilOrdered();
+
+    assertEquals(1, fixture.orders.size());
+    assertTrue(fixture.leaseClient.askedToRelease.size() > 2);
+  }
 }
