End each attempt of a statement at the time limit at the latest

What callers would see: fewer and fewer connections to a target that now and then leaves a read unanswered on a connection that stays open.

Cause: once a second attempt had succeeded, SingleStatement cancelled the timer of the time limit, and nothing ended the first attempt, which kept its connection for good. An attempt that still waited for a connection was sent later, for nobody.

Change: attempts that were not sent are given up when the statement ends; one that was sent may finish until the time limit, and its connection is closed then.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -239,10 +239,11 @@
   }
 
   private void onTimeout() {
+    Fault cause = Fault.of(ResultCode.STATEMENT_TIMEOUT, "time limit of the statement exceeded");
     if (ended) {
+      abandonUnanswered(cause);
       return;
     }
-    Fault cause = Fault.of(ResultCode.STATEMENT_TIMEOUT, "time limit of the statement exceeded");
     boolean sent = attempts.stream().anyMatch(attempt -> attempt.isSent() && !attempt.isEnded());
     attempts.forEach(attempt -> attempt.abandon(cause));
     if (!sent) {
@@ -285,10 +286,29 @@
                 fault));
   }
 
+  /**
+   * Ends the statement. Attempts that were not sent yet are given up; one that was sent may finish
+   * until the time limit, so that its connection can be reused.
+   */
   private void finish() {
     ended = true;
-    timeoutTimer.cancel();
     stopOverdueTimer();
+    Fault cause = Fault.of(ResultCode.CANCELLED, "another attempt has ended the statement");
+    attempts.stream().filter(attempt -> !attempt.isSent()).forEach(other -> other.abandon(cause));
+    if (attempts.stream().allMatch(StatementAttempt::isEnded)) {
+      timeoutTimer.cancel();
+    }
+  }
+
+  /** Closes the connections of attempts that were not answered in time. */
+  private void abandonUnanswered(Fault cause) {
+    for (StatementAttempt attempt : attempts) {
+      if (!attempt.isEnded()) {
+        attempt.target().recordOverdue(now());
+        attempt.target().pool().closeAllIdle(cause);
+        attempt.abandon(cause);
+      }
+    }
   }
 
   private void stopOverdueTimer() {
