--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -40,8 +40,8 @@
   private final boolean stepDownFirst;
   private final PrimaryRelease release;
   private final RunLease lease;
+  private final ReplicationStop replication;
   private final Set<String> rejectedTargetIds = new HashSet<>();
-  private final List<Candidate> answeredCandidates = new ArrayList<>();
   private long startMs;
   private long lastOrderMs;
   private int orders;
@@ -64,6 +64,7 @@
     this.stepDownFirst = stepDownFirst;
     this.release = new PrimaryRelease(failover, service, previousId, ownRelease);
     this.lease = new RunLease(failover, service, previousId, reason);
+    this.replication = new ReplicationStop(failover, service);
   }
 
   void start() {
@@ -171,27 +172,11 @@
         failover.scheduler(),
         failover.linkOpener(),
         candidates,
-        statusCommand(),
+        replication.statusCommand(nextTerm()),
         STATUS_TIMEOUT_MS,
         this::onStatuses);
   }
 
-  /**
-   * Returns the command that asks candidates for their status.
-   *
-   * <p>With synchronous replication the command also stops replication on the replica, so that the
-   * old primary can acknowledge no further commit once enough replicas have answered.
-   */
-  private TargetCommand statusCommand() {
-    return isSynchronous()
-        ? new TargetCommand.StopReceiving(nextTerm())
-        : new TargetCommand.AskStatus();
-  }
-
-  private boolean isSynchronous() {
-    return failover.targets().syncReplicasOf(service) > 0;
-  }
-
   private long nextTerm() {
     return Math.max(1, failover.positions().of(service).newestTerm() + 1);
   }
@@ -200,7 +185,7 @@
     if (ended) {
       return;
     }
-    answeredCandidates.addAll(answers);
+    replication.onAnswered(answers);
     StatusAnswers statuses = new StatusAnswers(answers);
     Optional<Candidate> leader = statuses.leader().filter(found -> !isReplaced(found));
     if (leader.isPresent()) {
@@ -212,7 +197,7 @@
     List<Candidate> replicas = statuses.replicas();
     Optional<Candidate> best = replicas.stream().max(Candidate.BY_POSITION);
     logCandidates(replicas, best);
-    boolean enough = replicas.size() >= requiredAnswers();
+    boolean enough = replicas.size() >= replication.requiredAnswers();
     boolean behind = best.isEmpty() || !best.get().received().isAtLeast(requiredPosition);
     if ((!enough || behind) && now() - startMs < CATCH_UP_TIMEOUT_MS) {
       failover.scheduler().schedule(CATCH_UP_POLL_MS, this::selectCandidate);
@@ -256,15 +241,6 @@
                 stopped.size()));
   }
 
-  /** Returns how many replicas must answer so that one of them has every acknowledged commit. */
-  private int requiredAnswers() {
-    if (!isSynchronous()) {
-      return 1;
-    }
-    int replicas = failover.targets().of(service).size() - 1;
-    return Math.max(1, replicas - failover.targets().syncReplicasOf(service) + 1);
-  }
-
   private void logCandidates(List<Candidate> answers, Optional<Candidate> best) {
     LOG.info(
         "failover_candidates",
@@ -273,7 +249,7 @@
         "answers",
         answers.size(),
         "needed",
-        requiredAnswers(),
+        replication.requiredAnswers(),
         "best",
         best.map(candidate -> candidate.handle().target().id()).orElse("-"),
         "received",
@@ -370,26 +346,11 @@
     failover.scheduler().schedule(ORDER_RETRY_DELAY_MS, () -> continueRun(next));
   }
 
-  /** Resumes replication on the replicas that were told to stop it. */
-  private void resumeReplication() {
-    Set<TargetHandle> stopped = new HashSet<>();
-    answeredCandidates.forEach(candidate -> stopped.add(candidate.handle()));
-    StatusRound.start(
-        failover.scheduler(),
-        failover.linkOpener(),
-        List.copyOf(stopped),
-        new TargetCommand.ResumeReceiving(),
-        STATUS_TIMEOUT_MS,
-        answers -> {});
-  }
-
   private void end(String outcome) {
     if (!ended) {
       ended = true;
       release.cancel();
-      if (isSynchronous()) {
-        resumeReplication();
-      }
+      replication.resume();
       LOG.info(
           "failover_ended",
           "service",
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -8,10 +8,8 @@
 import io.lycheejunction.gateway.lease.LeaseContext;
 import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.ReleaseReply;
-import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.target.TargetHandle;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -21,15 +19,6 @@
   private static final EventLog LOG = EventLog.of(ServiceWatch.class);
   private static final long VOTE_REFRESH_MS = 1_000;
   private static final long LEAVING_JITTER_MS = 300;
-  private static final long STATUS_INTERVAL_MS = 300;
-
-  /** How long a known primary is gone before all targets are asked for it, in milliseconds. */
-  private static final long FIND_PRIMARY_AFTER_MS = 1_500;
-
-  /** The proven term of a target that has not confirmed that it is primary. */
-  private static final long UNPROVEN = 0;
-
-  private static final long NOT_GONE = Long.MAX_VALUE;
 
   /**
    * How long a VM that cannot reach a leaving primary waits before it replaces it, in milliseconds.
@@ -44,7 +33,6 @@
   private static final long OBJECTION_WAIT_MS = 100;
 
   private static final long MAX_ANSWER_AGE_MS = 250;
-  private static final long STATUS_TIMEOUT_MS = 250;
 
   /** How long after a denied release of the primary its replacement is tried again. */
   private static final long RELEASE_RETRY_DELAY_MS = 400;
@@ -61,19 +49,13 @@
   private final long jitterMs;
   private final PrimaryVotes votes;
   private final PrimaryProbe probe;
+  private final PrimaryInquiry inquiry;
   private Optional<String> lastPrimary = Optional.empty();
   private Optional<Boolean> lastVote = Optional.empty();
   private long lastVoteMs;
-  private long lastStatusMs = Long.MIN_VALUE / 2;
-  private boolean statusInFlight;
   private long primaryFoundMs;
   private boolean awaitingFirstLease;
-
-  /** True until all targets were asked whether the primary that was just found was replaced. */
-  private boolean inDoubt;
-
   private long earliestStartMs = Long.MIN_VALUE;
-  private long goneSinceMs = NOT_GONE;
   private FailoverRun run;
   private long lastRunMs;
 
@@ -83,6 +65,7 @@
     this.onPrimaryFound = onPrimaryFound;
     this.votes = new PrimaryVotes(failover, service);
     this.probe = new PrimaryProbe(failover, service);
+    this.inquiry = new PrimaryInquiry(failover, service, this::check);
     this.jitterMs = Math.floorMod((failover.vm() + '/' + service).hashCode(), LEAVING_JITTER_MS);
   }
 
@@ -94,10 +77,7 @@
       return checkWithoutPrimary();
     }
     TargetHandle handle = primary.get();
-    boolean mayBeWrong = failover.leases().use().needsLease() || handle.isGone(now());
-    if (mayBeWrong && isContested(handle)) {
-      findPrimary();
-    }
+    inquiry.askIfContested(handle);
     probe.probeIfDue(handle);
     boolean gone = handle.isGone(now());
     boolean canStepDown = handle.target().leaving() || !gone;
@@ -111,11 +91,11 @@
       handle
           .pool()
           .refuseWaiting(Fault.of(ResultCode.TARGET_UNREACHABLE, "the primary does not answer"));
-      findPrimaryAfterDelay();
+      inquiry.askAfterDelay();
       replaceIfGranted(handle.target().id(), primary);
       return true;
     }
-    goneSinceMs = NOT_GONE;
+    inquiry.onPrimaryReached();
     earliestStartMs = Long.MIN_VALUE;
     return handle.isSuspected(now());
   }
@@ -224,7 +204,7 @@
             .filter(lease -> lease.isHeld(now()) && lease.previous().equals(id))
             .isPresent();
     return !handle.isGone(now())
-        && !inDoubt
+        && !inquiry.isInDoubt()
         && !lastVote.equals(Optional.of(true))
         && !beingReplaced
         && !failover.leases().grants().isReleased(service, id, now());
@@ -253,7 +233,7 @@
       earliestStartMs = Long.MIN_VALUE;
       primaryFoundMs = now();
       awaitingFirstLease = true;
-      inDoubt = failover.targets().hasNewerClaim(primary.get());
+      inquiry.onPrimaryFound(primary.get());
       if (run != null) {
         run.complete(id.get());
       }
@@ -277,93 +257,17 @@
     }
   }
 
-  /**
-   * Returns whether another target claims to be primary too, in a term that is not known to be
-   * lower. A replaced primary may go on to claim the role.
-   */
-  private boolean isContested(TargetHandle primary) {
-    return failover.targets().of(service).stream()
-        .filter(handle -> handle != primary && handle.isPrimary())
-        .mapToLong(TargetHandle::provenTerm)
-        .anyMatch(term -> term == UNPROVEN || term >= primary.provenTerm());
-  }
-
   private boolean checkWithoutPrimary() {
     if (lastPrimary.isEmpty() && failover.targets().of(service).isEmpty()) {
       return false;
     }
-    findPrimary();
+    inquiry.ask();
     String id = lastPrimary.orElse("");
     publishVote(id, true);
     replaceIfGranted(id, Optional.empty());
     return true;
   }
 
-  /**
-   * Asks all targets for the primary once the known one has been gone for some time. Another VM may
-   * have replaced it while the store is unreachable.
-   */
-  private void findPrimaryAfterDelay() {
-    if (goneSinceMs == NOT_GONE) {
-      goneSinceMs = now();
-    }
-    if (now() - goneSinceMs >= FIND_PRIMARY_AFTER_MS) {
-      findPrimary();
-    }
-  }
-
-  /** Asks all targets whether they are primary, in case this VM has missed a promotion. */
-  private void findPrimary() {
-    if (statusInFlight || now() - lastStatusMs < STATUS_INTERVAL_MS) {
-      return;
-    }
-    statusInFlight = true;
-    lastStatusMs = now();
-    StatusRound.start(
-        failover.scheduler(),
-        failover.linkOpener(),
-        failover.targets().of(service),
-        new TargetCommand.AskStatus(),
-        STATUS_TIMEOUT_MS,
-        this::onStatuses);
-  }
-
-  private void onStatuses(List<Candidate> answers) {
-    statusInFlight = false;
-    final boolean wasInDoubt = inDoubt;
-    inDoubt = false;
-    StatusAnswers statuses = new StatusAnswers(answers);
-    statuses.replaced().forEach(this::onReplaced);
-    Optional<Candidate> leader = statuses.leader();
-    leader.ifPresent(
-        found -> {
-          LOG.info(
-              "primary_asked",
-              "service",
-              service,
-              "target",
-              found.handle().target().id(),
-              "term",
-              found.term());
-          found.handle().recordPrimary(found.term());
-        });
-    if (leader.isPresent() || !statuses.replaced().isEmpty() || wasInDoubt) {
-      check();
-    }
-  }
-
-  private void onReplaced(Candidate replaced) {
-    LOG.info(
-        "primary_outdated",
-        "service",
-        service,
-        "target",
-        replaced.handle().target().id(),
-        "term",
-        replaced.term());
-    replaced.handle().recordReplaced();
-  }
-
   private void updateVote(TargetHandle handle, boolean gone) {
     String primary = handle.target().id();
     boolean reportedGone = votes.isReportedGoneByOthers(primary);
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -224,29 +224,15 @@
   }
 
   private void begin(Query query, CallerStatement.Begin begin) {
-    Optional<Route> route = routeOf(query);
+    Optional<Route> route = gateway.routeFor(origin, database, query.forwarded());
     if (route.isEmpty()) {
-      refuse(noRoute());
+      refuse(gateway.noRoute(origin, database));
       return;
     }
     transaction = new Transaction(gateway.dispatch(), route.get(), begin.readOnly());
     answerEmpty();
   }
 
-  private Optional<Route> routeOf(Query query) {
-    if (!gateway.acceptsWork(origin)) {
-      return Optional.empty();
-    }
-    return switch (origin) {
-      case CALLER -> gateway.route(database);
-      case VM -> query.forwarded().map(ForwardedContext::route);
-    };
-  }
-
-  private Fault noRoute() {
-    return gateway.acceptsWork(origin) ? Gateway.unknownDatabase(database) : Gateway.noNewWork();
-  }
-
   private void runPrepared(
       Query query,
       CallerStatement.Execute execute,
@@ -260,9 +246,9 @@
   }
 
   private void runSingle(Query query, Optional<PreparedStatement> preparedStatement) {
-    Optional<Route> route = routeOf(query);
+    Optional<Route> route = gateway.routeFor(origin, database, query.forwarded());
     if (route.isEmpty()) {
-      refuse(noRoute());
+      refuse(gateway.noRoute(origin, database));
       return;
     }
     StatementRequest request =
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -226,7 +226,7 @@
    * Returns whether single statements and new transactions are accepted. A VM that forwards
    * statements itself accepts none from others, so that no statement is forwarded twice.
    */
-  boolean acceptsWork(Origin origin) {
+  private boolean acceptsWork(Origin origin) {
     return switch (origin) {
       case CALLER -> !refusingCallers;
       case VM -> !refusingForwarded && !dispatch.role().isForwarding();
@@ -257,6 +257,29 @@
     return routes.routeOf(database);
   }
 
+  /**
+   * Returns the route of a single statement or a new transaction.
+   *
+   * @param origin the peer that has sent it
+   * @param database the database of the session
+   * @param forwarded what another VM has sent with it
+   * @return the route, or empty if it is not accepted, see {@link #noRoute}
+   */
+  Optional<Route> routeFor(Origin origin, String database, Optional<ForwardedContext> forwarded) {
+    if (!acceptsWork(origin)) {
+      return Optional.empty();
+    }
+    return switch (origin) {
+      case CALLER -> route(database);
+      case VM -> forwarded.map(ForwardedContext::route);
+    };
+  }
+
+  /** Returns why there is no route. */
+  Fault noRoute(Origin origin, String database) {
+    return acceptsWork(origin) ? unknownDatabase(database) : noNewWork();
+  }
+
   long idleTransactionMs() {
     return routes.idleTransactionMs();
   }
@@ -272,11 +295,11 @@
     }
   }
 
-  static Fault noNewWork() {
+  private static Fault noNewWork() {
     return Fault.of(ResultCode.SHUTTING_DOWN, "this VM takes no new work");
   }
 
-  static Fault unknownDatabase(String database) {
+  private static Fault unknownDatabase(String database) {
     return Fault.of(ResultCode.UNKNOWN_SERVICE, "no database " + database);
   }
 }
