--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailoverFixture.java
@@ -1,5 +1,7 @@
 package io.lycheejunction.gateway.failover;
 
+import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
 import io.lycheejunction.gateway.lease.LeaseClient;
 import io.lycheejunction.gateway.lease.LeaseContext;
@@ -14,6 +16,8 @@
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.peer.PeerAnswer;
+import io.lycheejunction.gateway.target.Target;
+import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -234,6 +238,29 @@
     orders.add(new Order(order.target().id(), order.token(), maySend, done));
   }
 
+  /** Returns a registered target. */
+  TargetHandle handle(String id) {
+    return group.targets.find(id).orElseThrow();
+  }
+
+  /** Replaces all registrations, and checks the primaries. */
+  void register(Target... targets) {
+    group.targets.update(List.of(targets));
+    watch.checkPrimaries();
+  }
+
+  /** Drops all connections to a target, which refuses new ones. */
+  void refuseConnections(String id) {
+    List.copyOf(group.links.to(id)).forEach(FakeLink::drop);
+    Fault refused = Fault.of(ResultCode.TARGET_UNREACHABLE, "refused");
+    handle(id).connectFailed(refused, group.scheduler.nowMs());
+  }
+
+  /** Lets another VM release the primary at once when it is asked. */
+  void releaseAtOnce(String vm) {
+    leaseClient.releases.put(vm, new ReleaseReply(vm, true, true, Map.of()));
+  }
+
   /** Adds votes of both other VMs on the primary i-1. */
   void othersVote(boolean gone) {
     store.votes.add(new Vote("vm-a", "domain-i-1", "i-1", gone));
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/ReplacedPrimaryReturnsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/ReplacedPrimaryReturnsTest.java
@@ -4,18 +4,13 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.lycheejunction.core.result.Fault;
-import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.lease.KnownPrimary;
 import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.PrimaryUse;
-import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.lease.VoterSet;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
-import io.lycheejunction.gateway.target.Target;
-import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
 import java.util.List;
@@ -38,10 +33,6 @@
   private final PrimaryLeases leases = new PrimaryLeases(() -> VoterSet.of(VMS));
   private final FailoverFixture fixture = new FailoverFixture(new PrimaryUse.Leased(leases));
 
-  private TargetHandle handle(String id) {
-    return fixture.group.targets.find(id).orElseThrow();
-  }
-
   private long now() {
     return fixture.group.scheduler.nowMs();
   }
@@ -50,22 +41,12 @@
     return fixture.group.targets.primaryOf(SERVICE).orElseThrow().target().id();
   }
 
-  private void register(Target... targets) {
-    fixture.group.targets.update(List.of(targets));
-    fixture.watch.checkPrimaries();
-  }
-
-  private void refuseConnections(String id) {
-    List.copyOf(fixture.group.links.to(id)).forEach(FakeLink::drop);
-    handle(id).connectFailed(Fault.of(ResultCode.TARGET_UNREACHABLE, "refused"), now());
-  }
-
   /** Replaces i-1 by i-3, whose registration claims the role. */
   private void replaceFirstPrimary() {
-    handle("i-1").recordPrimary(1);
+    fixture.handle("i-1").recordPrimary(1);
     fixture.watch.checkPrimaries();
-    refuseConnections("i-1");
-    register(
+    fixture.refuseConnections("i-1");
+    fixture.register(
         TestTargets.target("i-1", true, 1),
         TestTargets.target("i-2", false, 2),
         TestTargets.target("i-3", true, 9));
@@ -73,8 +54,8 @@
 
   /** The successor fails, and the first primary is reached again. */
   private void swapReachability() {
-    refuseConnections("i-3");
-    handle("i-1").recordAnswer(now());
+    fixture.refuseConnections("i-3");
+    fixture.handle("i-1").recordAnswer(now());
     fixture.watch.checkPrimaries();
   }
 
@@ -103,14 +84,10 @@
     return ofFirstPrimary;
   }
 
-  private void releases(String vm) {
-    fixture.leaseClient.releases.put(vm, new ReleaseReply(vm, true, true, Map.of()));
-  }
-
   @Test
   void shouldNotUseTheReplacedPrimaryWhenItsSuccessorIsGone() {
     replaceFirstPrimary();
-    handle("i-3").recordPrimary(2);
+    fixture.handle("i-3").recordPrimary(2);
 
     swapReachability();
 
@@ -163,16 +140,16 @@
   @Test
   void shouldPromoteReplicaAndStepDownTheReplacedPrimaryWhenTheSuccessorIsGone() {
     replaceFirstPrimary();
-    handle("i-3").recordPrimary(2);
+    fixture.handle("i-3").recordPrimary(2);
     swapReachability();
-    releases("vm-a");
-    releases("vm-c");
+    fixture.releaseAtOnce("vm-a");
+    fixture.releaseAtOnce("vm-c");
     fixture.store.votes.add(new Vote("vm-a", "domain-i-1", "i-3", true));
     fixture.store.votes.add(new Vote("vm-c", "domain-i-3", "i-3", true));
     List<TargetCommand> ofFirstPrimary = new ArrayList<>();
 
     for (int step = 0; step < STEPS && fixture.orders.isEmpty(); step++) {
-      refuseConnections("i-3");
+      fixture.refuseConnections("i-3");
       fixture.watch.checkPrimaries();
       ofFirstPrimary.addAll(answerStatuses());
       fixture.group.scheduler.advanceMs(STEP_MS);
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/SuccessorCrashTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/SuccessorCrashTest.java
@@ -4,19 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import io.lycheejunction.core.result.Fault;
-import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.lease.KnownPrimary;
 import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.PrimaryUse;
 import io.lycheejunction.gateway.lease.ReleaseReply;
 import io.lycheejunction.gateway.lease.VoterSet;
-import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
 import io.lycheejunction.gateway.target.Endpoint;
 import io.lycheejunction.gateway.target.Target;
-import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.TestTargets;
-import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 
@@ -33,54 +28,34 @@
   private final PrimaryLeases leases = new PrimaryLeases(() -> VoterSet.of(VMS));
   private final FailoverFixture fixture = new FailoverFixture(new PrimaryUse.Leased(leases));
 
-  private TargetHandle handle(String id) {
-    return fixture.group.targets.find(id).orElseThrow();
-  }
-
-  private void register(Target... targets) {
-    fixture.group.targets.update(List.of(targets));
-    fixture.watch.checkPrimaries();
-  }
-
-  private void refuseConnections(String id) {
-    List.copyOf(fixture.group.links.to(id)).forEach(FakeLink::drop);
-    handle(id)
-        .connectFailed(
-            Fault.of(ResultCode.TARGET_UNREACHABLE, "refused"), fixture.group.scheduler.nowMs());
-  }
-
   /**
    * The first primary crashes in its confirmed term, and the registration of i-3 claims its role.
    */
   private void promoteSuccessor() {
-    handle("i-1").recordPrimary(1);
+    fixture.handle("i-1").recordPrimary(1);
     fixture.watch.checkPrimaries();
     fixture.crashPrimary();
     fixture.othersVote(true);
-    register(
+    fixture.register(
         TestTargets.target("i-1", true, 1),
         TestTargets.target("i-2", false, 2),
         TestTargets.target("i-3", true, 9));
   }
 
   private void crashSuccessor() {
-    refuseConnections("i-3");
-    refuseConnections("i-1");
+    fixture.refuseConnections("i-3");
+    fixture.refuseConnections("i-1");
     fixture.watch.checkPrimaries();
   }
 
   private void restartSuccessor() {
-    register(
+    fixture.register(
         TestTargets.target("i-1", true, 1),
         TestTargets.target("i-2", false, 2),
         new Target(
             "i-3", 2, 1, SERVICE, new Endpoint("10.0.0.1", 1), "domain-i-3", 3, false, true, 12));
   }
 
-  private void releases(String vm) {
-    fixture.leaseClient.releases.put(vm, new ReleaseReply(vm, true, true, Map.of()));
-  }
-
   @Test
   void shouldReplaceTheSuccessorWhenItCrashesBeforeItsTermIsConfirmed() {
     promoteSuccessor();
@@ -92,8 +67,8 @@
 
   @Test
   void shouldNotCountVotesOnTheFirstPrimaryWhenItsSuccessorIsGone() {
-    releases("vm-a");
-    releases("vm-c");
+    fixture.releaseAtOnce("vm-a");
+    fixture.releaseAtOnce("vm-c");
     promoteSuccessor();
 
     crashSuccessor();
