Keep connections of attempts that are about to send when their statement ends

Cause, suspected: gave up all attempts that had not sent their statement when another one had ended it. That includes attempts whose transaction was being begun on the target; they are cancelled by closing the connection.

Change: only an attempt that still waits for a connection is given up. The others end as before, at the time limit at the latest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -287,14 +287,14 @@
   }
 
   /**
-   * Ends the statement. Attempts that were not sent yet are given up; one that was sent may finish
-   * until the time limit, so that its connection can be reused.
+   * Ends the statement. An attempt that waits for a connection is given up; one that has a
+   * connection may finish until the time limit, so that the connection can be reused.
    */
   private void finish() {
     ended = true;
     stopOverdueTimer();
     Fault cause = Fault.of(ResultCode.CANCELLED, "another attempt has ended the statement");
-    attempts.stream().filter(attempt -> !attempt.isSent()).forEach(other -> other.abandon(cause));
+    attempts.stream().filter(StatementAttempt::isWaiting).forEach(other -> other.abandon(cause));
     if (attempts.stream().allMatch(StatementAttempt::isEnded)) {
       timeoutTimer.cancel();
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
@@ -73,6 +73,11 @@
     return sent;
   }
 
+  /** Returns whether the attempt waits for a connection on which to send its statement at once. */
+  boolean isWaiting() {
+    return request != null;
+  }
+
   boolean isEnded() {
     return ended;
   }
