Tell targets the organisation of a caller's key, and refuse keys that no configuration holds

Callers with any key were served, and targets were told the name of the VM: the gateway read neither the organisations in the configuration nor the key in STARTUP. A session now belongs to the organisation of its key; the key is checked again for each operation, and sessions whose key was withdrawn end after their running statement. Requests carry the organisation as far as the pool; connections by organisation follow.

--- a/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
+++ b/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
@@ -56,6 +56,8 @@
   TARGET_BUSY(1207, Outcome.REFUSED_NOT_RUN, 503),
   /** The target has reached its connection limit. */
   TARGET_CONNECTIONS_FULL(1208, Outcome.REFUSED_NOT_RUN, 503),
+  /** The organisation of the caller has used up its quota for now. */
+  QUOTA_EXCEEDED(1209, Outcome.REFUSED_NOT_RUN, 429),
 
   /** No primary of the group is known. */
   NO_PRIMARY(1301, Outcome.REFUSED_NOT_RUN, 503),
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/BeginAttempt.java
@@ -65,6 +65,7 @@
     request =
         new CallbackLinkRequest(
             statementRequest.session(),
+            statementRequest.organisation(),
             statementRequest.route().priority(),
             untilMs,
             this::onGranted,
@@ -97,7 +98,11 @@
     target.recordRequest(sentMs);
     TargetCommand command =
         new TargetCommand.Run(
-            Optional.empty(), floor, begin, Optional.of(statementRequest.route()));
+            Optional.empty(),
+            floor,
+            begin,
+            Optional.of(statementRequest.route()),
+            statementRequest.organisation());
     granted.run(statementRequest.session(), command, result -> onResult(granted, result));
     dispatch.scheduler().schedule(DispatchContext.BEGIN_TIMEOUT_MS, () -> onTimeout(granted));
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
@@ -102,6 +102,7 @@
     request =
         new CallbackLinkRequest(
             statementRequest.session(),
+            statementRequest.organisation(),
             statementRequest.route().priority(),
             untilMs,
             this::onGranted,
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
@@ -18,6 +18,7 @@
  * A statement to run on a target, with its route and the state of its session.
  *
  * @param requestId the caller's identifier of the request
+ * @param organisation the organisation of the caller, or empty if it has none
  * @param route the route in force for the statement
  * @param session the session state to set the connection up with
  * @param sessionCommit the log position of the latest commit of the session
@@ -27,6 +28,7 @@
  */
 public record StatementRequest(
     String requestId,
+    Optional<String> organisation,
     Route route,
     SessionState session,
     LogPosition sessionCommit,
@@ -35,6 +37,7 @@
   /** Rejects null components. */
   public StatementRequest {
     Objects.requireNonNull(requestId, "requestId is null");
+    Objects.requireNonNull(organisation, "organisation is null");
     Objects.requireNonNull(route, "route is null");
     Objects.requireNonNull(session, "session is null");
     Objects.requireNonNull(sessionCommit, "sessionCommit is null");
@@ -62,6 +65,7 @@
   StatementRequest withTimeLimit(long timeLimitMs) {
     return new StatementRequest(
         requestId,
+        organisation,
         route.withStatementTimeoutMs(timeLimitMs),
         session,
         sessionCommit,
@@ -84,12 +88,13 @@
       link.runPrepared(
           session,
           preparedStatement.get(),
-          new PreparedCommand(requestId, after, arguments, rollBack, route),
+          new PreparedCommand(requestId, after, arguments, rollBack, route, organisation),
           done);
       return;
     }
     TargetCommand command =
-        new TargetCommand.Run(Optional.of(requestId), after, statement, Optional.of(route));
+        new TargetCommand.Run(
+            Optional.of(requestId), after, statement, Optional.of(route), organisation);
     if (rollBack) {
       link.runAndRollBack(session, command, done);
     } else {
--- a/gateway/src/main/java/io/lycheejunction/gateway/link/TargetCommand.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/TargetCommand.java
@@ -18,12 +18,15 @@
    * @param statement the statement
    * @param route the route in force, which is sent if the statement is forwarded to another VM;
    *     empty for statements that the gateway issues itself
+   * @param organisation the organisation of the caller, which is sent with the route; empty if it
+   *     has none
    */
   record Run(
       Optional<String> requestId,
       Optional<LogPosition> after,
       CallerStatement statement,
-      Optional<Route> route)
+      Optional<Route> route,
+      Optional<String> organisation)
       implements TargetCommand {
     /** Rejects null components. */
     public Run {
@@ -31,6 +34,7 @@
       Objects.requireNonNull(after, "after is null");
       Objects.requireNonNull(statement, "statement is null");
       Objects.requireNonNull(route, "route is null");
+      Objects.requireNonNull(organisation, "organisation is null");
     }
   }
 
@@ -64,6 +68,7 @@
    * @return the command, without request identifier, log position and route
    */
   static TargetCommand ofGateway(CallerStatement statement) {
-    return new Run(Optional.empty(), Optional.empty(), statement, Optional.empty());
+    return new Run(
+        Optional.empty(), Optional.empty(), statement, Optional.empty(), Optional.empty());
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/link/TargetLinkOpener.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/TargetLinkOpener.java
@@ -37,10 +37,12 @@
    * Starts to open a connection.
    *
    * @param target the target, which must identify itself as this one
+   * @param organisation the organisation whose statements the connection carries, which the target
+   *     is told; empty where the deployment has none
    * @param listener receives the events of the connection
    * @return the connection, which accepts commands once it is open
    */
-  TargetLink open(Target target, Listener listener);
+  TargetLink open(Target target, Optional<String> organisation, Listener listener);
 
   /**
    * Returns the status in an answer to {@link TargetCommand.AskStatus}.
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/LinkRequest.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/LinkRequest.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.statement.SessionState;
+import java.util.Optional;
 
 /**
  * A request for a connection. Unless it is cancelled, the pool calls exactly one of its two outcome
@@ -18,6 +19,16 @@
    */
   SessionState session();
 
+  /**
+   * Returns the organisation whose connection is required. A target accepts the statements of one
+   * organisation on each connection.
+   *
+   * @return the name of the organisation; empty if any connection will do
+   */
+  default Optional<String> organisation() {
+    return Optional.empty();
+  }
+
   /**
    * Returns the priority of the request; lower values are served first.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/PreparedCommand.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/PreparedCommand.java
@@ -14,19 +14,22 @@
  * @param arguments the arguments of the prepared statement
  * @param endsTransaction true if a rollback of the open transaction is sent in the same write
  * @param route the route in force for the statement
+ * @param organisation the organisation of the caller, or empty if it has none
  */
 public record PreparedCommand(
     String requestId,
     Optional<LogPosition> after,
     String arguments,
     boolean endsTransaction,
-    Route route) {
+    Route route,
+    Optional<String> organisation) {
 
   TargetCommand withName(String name) {
     return new TargetCommand.Run(
         Optional.of(requestId),
         after,
         new CallerStatement.Execute(name, arguments),
-        Optional.of(route));
+        Optional.of(route),
+        organisation);
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -341,7 +341,7 @@
     PooledLink pooled = new PooledLink(this);
     notReady.add(pooled);
     onOpening.run();
-    pooled.attach(linkOpener.open(target, new Listener(pooled)));
+    pooled.attach(linkOpener.open(target, Optional.empty(), new Listener(pooled)));
     scheduler.schedule(OPEN_TIMEOUT_MS, () -> onOpenTimeout(pooled));
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/route/Route.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/Route.java
@@ -11,6 +11,7 @@
  * @param statementTimeoutMs the time limit of one statement, in milliseconds
  * @param latencyObjectiveMs the latency objective of a whole operation, in milliseconds
  * @param priority the scheduling priority; 0 is the most urgent
+ * @param keyRequired true if callers must present the key of an organisation
  */
 public record Route(
     String database,
@@ -18,7 +19,8 @@
     ReadRule readRule,
     long statementTimeoutMs,
     long latencyObjectiveMs,
-    int priority) {
+    int priority,
+    boolean keyRequired) {
   /** Rejects null components. */
   public Route {
     Objects.requireNonNull(database, "database is null");
@@ -26,6 +28,26 @@
     Objects.requireNonNull(readRule, "readRule is null");
   }
 
+  /**
+   * Creates a route whose callers need no key.
+   *
+   * @param database the database name that callers connect to
+   * @param service the service that runs the statements
+   * @param readRule the commits that reads must observe
+   * @param statementTimeoutMs the time limit of one statement, in milliseconds
+   * @param latencyObjectiveMs the latency objective of a whole operation, in milliseconds
+   * @param priority the scheduling priority; 0 is the most urgent
+   */
+  public Route(
+      String database,
+      String service,
+      ReadRule readRule,
+      long statementTimeoutMs,
+      long latencyObjectiveMs,
+      int priority) {
+    this(database, service, readRule, statementTimeoutMs, latencyObjectiveMs, priority, false);
+  }
+
   /**
    * Returns the route with another time limit of statements.
    *
@@ -33,6 +55,7 @@
    * @return the route
    */
   public Route withStatementTimeoutMs(long timeoutMs) {
-    return new Route(database, service, readRule, timeoutMs, latencyObjectiveMs, priority);
+    return new Route(
+        database, service, readRule, timeoutMs, latencyObjectiveMs, priority, keyRequired);
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/route/RouteTable.java
@@ -1,6 +1,8 @@
 package io.lycheejunction.gateway.route;
 
+import io.lycheejunction.gateway.organisation.Organisations;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 
 /**
@@ -11,19 +13,40 @@
  * @param routes the routes, keyed by database name
  * @param services the limits, keyed by service
  * @param idleTransactionMs the idle timeout of transactions, in milliseconds; 0 disables it
+ * @param organisations the organisations of callers; empty if callers need no key
  */
 public record RouteTable(
     long version,
     long revision,
     Map<String, Route> routes,
     Map<String, ServiceLimits> services,
-    long idleTransactionMs) {
+    long idleTransactionMs,
+    Organisations organisations) {
   private static final RouteTable EMPTY = new RouteTable(-1, -1, Map.of(), Map.of(), 0);
 
-  /** Copies the maps. */
+  /** Copies the maps and rejects null components. */
   public RouteTable {
     routes = Map.copyOf(routes);
     services = Map.copyOf(services);
+    Objects.requireNonNull(organisations, "organisations is null");
+  }
+
+  /**
+   * Creates the configuration of a deployment without organisations.
+   *
+   * @param version the version; a higher one replaces a lower one
+   * @param revision the revision of the store in which it was written
+   * @param routes the routes, keyed by database name
+   * @param services the limits, keyed by service
+   * @param idleTransactionMs the idle timeout of transactions, in milliseconds; 0 disables it
+   */
+  public RouteTable(
+      long version,
+      long revision,
+      Map<String, Route> routes,
+      Map<String, ServiceLimits> services,
+      long idleTransactionMs) {
+    this(version, revision, routes, services, idleTransactionMs, Organisations.empty());
   }
 
   /**
@@ -74,7 +97,8 @@
   private boolean hasContentOf(RouteTable other) {
     return routes.equals(other.routes)
         && services.equals(other.services)
-        && idleTransactionMs == other.idleTransactionMs;
+        && idleTransactionMs == other.idleTransactionMs
+        && organisations.equals(other.organisations);
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -13,7 +13,7 @@
 import io.lycheejunction.gateway.link.CallerLink;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TransactionState;
-import io.lycheejunction.gateway.route.Route;
+import io.lycheejunction.gateway.route.RouteTable;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -32,6 +32,7 @@
   private final Gateway gateway;
   private final CallerLink link;
   private final String database;
+  private final Credential credential;
   private final Origin origin;
   private final Deque<Query> queue = new ArrayDeque<>();
   private SessionState state = SessionState.empty();
@@ -39,6 +40,10 @@
   private Transaction transaction;
   private SingleStatement running;
   private Scheduler.Timer idleTimer;
+
+  /** The organisation of the open transaction, whose key may be withdrawn meanwhile. */
+  private Optional<String> transactionOrganisation = Optional.empty();
+
   private boolean busy;
   private boolean closed;
 
@@ -48,10 +53,15 @@
   /** True if the transaction is ended once its running statement is answered. */
   private boolean endsAfterStatement;
 
-  CallerSession(Gateway gateway, CallerLink link, String database, Origin origin) {
+  /** True if the key was withdrawn, so that the session ends once its statement is answered. */
+  private boolean unauthorized;
+
+  CallerSession(
+      Gateway gateway, CallerLink link, String database, Credential credential, Origin origin) {
     this.gateway = gateway;
     this.link = link;
     this.database = database;
+    this.credential = credential;
     this.origin = origin;
   }
 
@@ -138,6 +148,26 @@
     link.close();
   }
 
+  /** Decides whether the session's caller may use its database under a configuration. */
+  Admission admission(RouteTable routes) {
+    return SessionAdmission.of(routes, database, credential);
+  }
+
+  /** Returns whether a configuration contains the key of the session, if its route requires one. */
+  boolean isAuthorized(RouteTable routes) {
+    return !(admission(routes) instanceof Admission.Refused(Fault fault))
+        || fault.code() == ResultCode.UNKNOWN_SERVICE;
+  }
+
+  /** Ends the session, since its key was withdrawn; a running statement is answered first. */
+  void endUnauthorized() {
+    if (busy) {
+      unauthorized = true;
+    } else {
+      close();
+    }
+  }
+
   /** Fails the open transaction for the shutdown, once its running statement is answered. */
   void endTransactionForShutdown() {
     if (busy) {
@@ -224,13 +254,14 @@
   }
 
   private void begin(Query query, CallerStatement.Begin begin) {
-    Optional<Route> route = gateway.routeFor(origin, database, query.forwarded());
-    if (route.isEmpty()) {
-      refuse(gateway.noRoute(origin, database));
-      return;
+    switch (gateway.admit(this, origin, query.forwarded())) {
+      case Admission.Admitted admitted -> {
+        transactionOrganisation = admitted.organisation();
+        transaction = new Transaction(gateway.dispatch(), admitted.route(), begin.readOnly());
+        answerEmpty();
+      }
+      case Admission.Refused refused -> refuse(refused.fault());
     }
-    transaction = new Transaction(gateway.dispatch(), route.get(), begin.readOnly());
-    answerEmpty();
   }
 
   private void runPrepared(
@@ -246,15 +277,19 @@
   }
 
   private void runSingle(Query query, Optional<PreparedStatement> preparedStatement) {
-    Optional<Route> route = gateway.routeFor(origin, database, query.forwarded());
-    if (route.isEmpty()) {
-      refuse(gateway.noRoute(origin, database));
-      return;
+    switch (gateway.admit(this, origin, query.forwarded())) {
+      case Admission.Admitted admitted -> runAdmitted(query, preparedStatement, admitted);
+      case Admission.Refused refused -> refuse(refused.fault());
     }
+  }
+
+  private void runAdmitted(
+      Query query, Optional<PreparedStatement> preparedStatement, Admission.Admitted admitted) {
     StatementRequest request =
         new StatementRequest(
             query.requestId(),
-            route.get(),
+            admitted.organisation(),
+            admitted.route(),
             state,
             lastCommit,
             query.statement(),
@@ -267,6 +302,7 @@
     StatementRequest request =
         new StatementRequest(
             query.requestId(),
+            transactionOrganisation,
             transaction.route(),
             state,
             lastCommit,
@@ -305,6 +341,10 @@
       endsAfterStatement = false;
       expireTransaction("this VM shuts down");
     }
+    if (unauthorized) {
+      close();
+      return;
+    }
     Query nextQuery = queue.pollFirst();
     if (nextQuery != null) {
       handle(nextQuery);
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -5,7 +5,6 @@
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.dispatch.DispatchContext;
 import io.lycheejunction.gateway.link.CallerLink;
-import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.route.RouteTable;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -23,7 +22,7 @@
 
   private static final int MAX_WAITING_SESSIONS = 2_000;
 
-  private record WaitingSession(CallerSession session, CallerLink link, String database) {}
+  private record WaitingSession(CallerSession session, CallerLink link) {}
 
   private final DispatchContext dispatch;
   private final Set<WaitingSession> waiting = new LinkedHashSet<>();
@@ -48,24 +47,19 @@
    *
    * @param link the caller's connection, which is notified whether the session is accepted
    * @param database the database that the caller connects to
+   * @param credential the key that the caller presented
    * @return the session, which may still wait for the configuration, or empty if it was rejected
    */
-  public Optional<CallerSession> open(CallerLink link, String database) {
+  public Optional<CallerSession> open(CallerLink link, String database, Credential credential) {
     if (refusingCallers) {
       link.reject(noNewWork());
       return Optional.empty();
     }
     if (!isReady()) {
-      return waitForConfiguration(link, database);
+      return waitForConfiguration(link, database, credential);
     }
-    if (route(database).isEmpty()) {
-      link.reject(unknownDatabase(database));
-      return Optional.empty();
-    }
-    CallerSession session = new CallerSession(this, link, database, Origin.CALLER);
-    sessions.add(session);
-    link.accept();
-    return Optional.of(session);
+    CallerSession session = new CallerSession(this, link, database, credential, Origin.CALLER);
+    return accept(session, link) ? Optional.of(session) : Optional.empty();
   }
 
   /**
@@ -76,7 +70,7 @@
    * @return the session
    */
   public CallerSession openForwarded(CallerLink link, String service) {
-    CallerSession session = new CallerSession(this, link, service, Origin.VM);
+    CallerSession session = new CallerSession(this, link, service, Credential.none(), Origin.VM);
     forwarded.add(session);
     link.accept();
     return session;
@@ -105,15 +99,25 @@
     if (entry.session().isEnded()) {
       return;
     }
-    if (route(entry.database()).isEmpty()) {
-      entry.link().reject(unknownDatabase(entry.database()));
-      return;
-    }
-    sessions.add(entry.session());
-    entry.link().accept();
+    accept(entry.session(), entry.link());
+  }
+
+  private boolean accept(CallerSession session, CallerLink link) {
+    return switch (session.admission(routes)) {
+      case Admission.Admitted admitted -> {
+        sessions.add(session);
+        link.accept();
+        yield true;
+      }
+      case Admission.Refused refused -> {
+        link.reject(refused.fault());
+        yield false;
+      }
+    };
   }
 
-  private Optional<CallerSession> waitForConfiguration(CallerLink link, String database) {
+  private Optional<CallerSession> waitForConfiguration(
+      CallerLink link, String database, Credential credential) {
     Fault fault =
         new Fault(
             ResultCode.NO_PRIMARY,
@@ -123,8 +127,8 @@
       link.reject(fault);
       return Optional.empty();
     }
-    CallerSession session = new CallerSession(this, link, database, Origin.CALLER);
-    WaitingSession entry = new WaitingSession(session, link, database);
+    CallerSession session = new CallerSession(this, link, database, credential, Origin.CALLER);
+    WaitingSession entry = new WaitingSession(session, link);
     waiting.add(entry);
     dispatch
         .scheduler()
@@ -160,13 +164,27 @@
         "revision_before",
         routes.revision(),
         "routes",
-        table.routes().size());
+        table.routes().size(),
+        "organisations",
+        table.organisations().names().size());
     routes = table;
     dispatch.statementLog().setConfigurationVersion(table.version());
+    endUnauthorizedSessions();
     acceptWaiting();
     return true;
   }
 
+  /** Ends the sessions whose key was withdrawn, so that none of them goes on under it. */
+  private void endUnauthorizedSessions() {
+    List<CallerSession> unauthorized =
+        sessions.stream().filter(session -> !session.isAuthorized(routes)).toList();
+    if (!unauthorized.isEmpty()) {
+      LOG.info(
+          "keys_withdrawn", "version", routes.version(), "sessions_ended", unauthorized.size());
+      unauthorized.forEach(CallerSession::endUnauthorized);
+    }
+  }
+
   /** Logs that a configuration is not applied, unless it is the current one, read again. */
   private void logIgnored(RouteTable table) {
     if (table.isSameAs(routes)) {
@@ -253,33 +271,28 @@
     return dispatch;
   }
 
-  Optional<Route> route(String database) {
-    return routes.routeOf(database);
-  }
-
   /**
-   * Returns the route of a single statement or a new transaction.
+   * Decides whether a session may run a single statement or a new transaction now.
    *
+   * @param session the session
    * @param origin the peer that has sent it
-   * @param database the database of the session
    * @param forwarded what another VM has sent with it
-   * @return the route, or empty if it is not accepted, see {@link #noRoute}
+   * @return the route and the organisation, or why it is refused
    */
-  Optional<Route> routeFor(Origin origin, String database, Optional<ForwardedContext> forwarded) {
+  Admission admit(CallerSession session, Origin origin, Optional<ForwardedContext> forwarded) {
     if (!acceptsWork(origin)) {
-      return Optional.empty();
+      return new Admission.Refused(noNewWork());
     }
     return switch (origin) {
-      case CALLER -> route(database);
-      case VM -> forwarded.map(ForwardedContext::route);
+      case CALLER -> session.admission(routes);
+      case VM ->
+          forwarded
+              .<Admission>map(
+                  context -> new Admission.Admitted(context.route(), context.organisation()))
+              .orElseGet(() -> new Admission.Refused(noForwardedRoute()));
     };
   }
 
-  /** Returns why there is no route. */
-  Fault noRoute(Origin origin, String database) {
-    return acceptsWork(origin) ? unknownDatabase(database) : noNewWork();
-  }
-
   long idleTransactionMs() {
     return routes.idleTransactionMs();
   }
@@ -299,7 +312,7 @@
     return Fault.of(ResultCode.SHUTTING_DOWN, "this VM takes no new work");
   }
 
-  private static Fault unknownDatabase(String database) {
-    return Fault.of(ResultCode.UNKNOWN_SERVICE, "no database " + database);
+  private static Fault noForwardedRoute() {
+    return Fault.of(ResultCode.UNKNOWN_SERVICE, "a forwarded statement came without its route");
   }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -104,7 +104,13 @@
   public static StatementRequest request(ReadRule rule, CallerStatement statement) {
     Route route = new Route("db", TestTargets.SERVICE, rule, TIMEOUT_MS, 200, 1);
     return new StatementRequest(
-        "r-1", route, SessionState.empty(), LogPosition.ORIGIN, statement, Optional.empty());
+        "r-1",
+        Optional.empty(),
+        route,
+        SessionState.empty(),
+        LogPosition.ORIGIN,
+        statement,
+        Optional.empty());
   }
 
   /** Returns a read of {@code x}. */
--- a/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
@@ -14,12 +14,14 @@
   /** One connection; commands stay in {@code sent} until the test answers them. */
   public static final class FakeLink implements TargetLink {
     private final Target target;
+    private final Optional<String> organisation;
     private final Listener listener;
     private final List<TargetCommand> sent = new ArrayList<>();
     private boolean closed;
 
-    private FakeLink(Target target, Listener listener) {
+    private FakeLink(Target target, Optional<String> organisation, Listener listener) {
       this.target = target;
+      this.organisation = organisation;
       this.listener = listener;
     }
 
@@ -28,6 +30,11 @@
       return target.id();
     }
 
+    /** Returns the organisation that the target was told. */
+    public Optional<String> organisation() {
+      return organisation;
+    }
+
     /** Returns the commands that have no answer yet. */
     public List<TargetCommand> unanswered() {
       return sent;
@@ -114,8 +121,8 @@
   private final List<FakeLink> opened = new ArrayList<>();
 
   @Override
-  public TargetLink open(Target target, Listener listener) {
-    FakeLink link = new FakeLink(target, listener);
+  public TargetLink open(Target target, Optional<String> organisation, Listener listener) {
+    FakeLink link = new FakeLink(target, organisation, listener);
     opened.add(link);
     return link;
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -86,7 +86,11 @@
 
   private static TargetCommand read() {
     return new TargetCommand.Run(
-        Optional.of("r"), Optional.empty(), new CallerStatement.Read("x"), Optional.empty());
+        Optional.of("r"),
+        Optional.empty(),
+        new CallerStatement.Read("x"),
+        Optional.empty(),
+        Optional.empty());
   }
 
   private PooledLink open(SessionState session) {
@@ -167,7 +171,8 @@
     PooledLink link = open(ALICE);
     PreparedStatement reads = new PreparedStatement(false, "q");
     PreparedStatement writes = new PreparedStatement(true, "q");
-    PreparedCommand command = new PreparedCommand("r", Optional.empty(), "x", false, ROUTE);
+    PreparedCommand command =
+        new PreparedCommand("r", Optional.empty(), "x", false, ROUTE, Optional.empty());
 
     link.runPrepared(SessionState.empty(), reads, command, result -> {});
     link.runPrepared(SessionState.empty(), writes, command, result -> {});
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/CallerSessionTest.java
@@ -29,7 +29,7 @@
 
   CallerSessionTest() {
     gateway.apply(table(1, "db"));
-    session = gateway.open(caller, "db").orElseThrow();
+    session = gateway.open(caller, "db", Credential.none()).orElseThrow();
   }
 
   private static RouteTable table(long version, String database) {
@@ -54,7 +54,7 @@
   void shouldRejectSessionWhenTheDatabaseHasNoRoute() {
     RecordingCallerLink other = new RecordingCallerLink();
 
-    assertTrue(gateway.open(other, "unknown").isEmpty());
+    assertTrue(gateway.open(other, "unknown", Credential.none()).isEmpty());
     assertEquals("rejected UNKNOWN_SERVICE", other.lastReply());
   }
 
@@ -63,7 +63,7 @@
     Gateway unconfigured = new Gateway(fixture.dispatch);
     RecordingCallerLink waitingCaller = new RecordingCallerLink();
 
-    unconfigured.open(waitingCaller, "db");
+    unconfigured.open(waitingCaller, "db", Credential.none());
     assertTrue(waitingCaller.replies.isEmpty());
     unconfigured.apply(table(1, "db"));
 
@@ -74,7 +74,7 @@
   void shouldRejectWaitingSessionWhenNoConfigurationArrives() {
     Gateway unconfigured = new Gateway(fixture.dispatch);
     RecordingCallerLink waitingCaller = new RecordingCallerLink();
-    unconfigured.open(waitingCaller, "db");
+    unconfigured.open(waitingCaller, "db", Credential.none());
 
     fixture.scheduler.advanceMs(1_500);
 
@@ -86,7 +86,7 @@
     gateway.apply(table(5, "newer"));
 
     assertFalse(gateway.apply(table(4, "db")));
-    assertTrue(gateway.route("newer").isPresent());
+    assertTrue(gateway.routes().routeOf("newer").isPresent());
   }
 
   @Test
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/ForwardedSessionTest.java
@@ -28,7 +28,8 @@
   private final CallerSession session = gateway.openForwarded(vm, TestTargets.SERVICE);
 
   private static ForwardedContext forwarded(ReadRule rule, Optional<LogPosition> commit) {
-    return new ForwardedContext(new Route("db", TestTargets.SERVICE, rule, 1_000, 200, 1), commit);
+    return new ForwardedContext(
+        Optional.empty(), new Route("db", TestTargets.SERVICE, rule, 1_000, 200, 1), commit);
   }
 
   private static ForwardedContext latest() {
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/ShutdownTransactionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/ShutdownTransactionTest.java
@@ -32,7 +32,7 @@
 
   ShutdownTransactionTest() {
     gateway.apply(new RouteTable(1, 1, Map.of("db", ROUTE), Map.of(), 3_000));
-    session = gateway.open(caller, "db").orElseThrow();
+    session = gateway.open(caller, "db", Credential.none()).orElseThrow();
   }
 
   private FakeLink target() {
@@ -106,7 +106,7 @@
   void shouldRefuseWorkOfSessionsThatWereOpenedDuringTheShutdown() {
     gateway.drainSessions();
     RecordingCallerLink late = new RecordingCallerLink();
-    CallerSession opened = gateway.open(late, "db").orElseThrow();
+    CallerSession opened = gateway.open(late, "db", Credential.none()).orElseThrow();
     gateway.endTransactions();
 
     opened.query("1", new CallerStatement.Begin(false));
@@ -121,7 +121,7 @@
     gateway.endTransactions();
     RecordingCallerLink late = new RecordingCallerLink();
 
-    assertTrue(gateway.open(late, "db").isEmpty());
+    assertTrue(gateway.open(late, "db", Credential.none()).isEmpty());
     assertEquals("rejected SHUTTING_DOWN", late.lastReply());
   }
 
@@ -129,7 +129,7 @@
   void shouldEndForwardedTransactionOnceItsRunningStatementIsAnswered() {
     RecordingCallerLink vm = new RecordingCallerLink();
     CallerSession forwarded = gateway.openForwarded(vm, "ledger");
-    ForwardedContext context = new ForwardedContext(ROUTE, Optional.empty());
+    ForwardedContext context = new ForwardedContext(Optional.empty(), ROUTE, Optional.empty());
     forwarded.query("1", new CallerStatement.Begin(false), context);
     forwarded.query("2", WRITE, context);
     target().greet().done(TransactionState.OPEN, 1, 5);
