Give each organisation its own connections to a target

Seen: a connection was opened without an organisation, and statements of all organisations would have used it. Targets accept fewer connections than there are VMs and organisations, so a pool can't keep one for each.

Change: TargetPool opens a connection for the organisation of the first waiting request that has none coming, and gives it to requests of that organisation only. When the share is used up, or the target is full, the connection that has been idle longest is closed for it. A connection that becomes free is replaced when the request whose turn it is has no connection that is free soon; requests that have one are passed over, since otherwise nearly each statement would need a new connection. Probes and requests without organisation use any idle connection. The only idle connection of an organisation is kept as long as those within the idle share. Connections between VMs serve all organisations (TargetLinkOpener.isPerOrganisation). The queue and the sets of connections move out of TargetPool.

--- a/gateway/src/main/java/io/lycheejunction/gateway/link/TargetLinkOpener.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/TargetLinkOpener.java
@@ -44,6 +44,14 @@
    */
   TargetLink open(Target target, Optional<String> organisation, Listener listener);
 
+  /**
+   * Returns whether each connection carries the statements of one organisation only. Connections
+   * between VMs carry those of all, since each forwarded statement names its organisation.
+   *
+   * @return true if so
+   */
+  boolean isPerOrganisation();
+
   /**
    * Returns the status in an answer to {@link TargetCommand.AskStatus}.
    *
--- /dev/null
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/IdleLinks.java
@@ -0,0 +1,94 @@
+package io.lycheejunction.gateway.pool;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+
+/** The idle connections of a pool, the most recently used first. */
+final class IdleLinks {
+  /** Short, since VMs without an idle share take turns in using the target's connections. */
+  static final long ZERO_SHARE_IDLE_TIMEOUT_MS = 300;
+
+  private static final long IDLE_TIMEOUT_MS = 20_000;
+  private static final long EXTRA_IDLE_TIMEOUT_MS = 2_000;
+
+  private final OrganisationRule rule;
+  private final Deque<PooledLink> links = new ArrayDeque<>();
+
+  IdleLinks(OrganisationRule rule) {
+    this.rule = rule;
+  }
+
+  int size() {
+    return links.size();
+  }
+
+  boolean isEmpty() {
+    return links.isEmpty();
+  }
+
+  void add(PooledLink link, long nowMs) {
+    link.setIdleSince(nowMs);
+    links.addFirst(link);
+  }
+
+  void remove(PooledLink link) {
+    links.remove(link);
+  }
+
+  List<PooledLink> all() {
+    return List.copyOf(links);
+  }
+
+  /** Returns the connection that has been idle longest; there must be one. */
+  PooledLink leastRecentlyUsed() {
+    return links.getLast();
+  }
+
+  /**
+   * Removes and returns a connection that fits a request. One that is set up for its session is
+   * preferred, then one of the same organisation or, for a request without one, of none.
+   */
+  Optional<PooledLink> take(LinkRequest request) {
+    Optional<PooledLink> taken =
+        first(link -> rule.fits(link, request) && link.isSetUpFor(request.session()))
+            .or(() -> first(link -> link.organisation().equals(rule.requiredBy(request))))
+            .or(() -> first(link -> rule.fits(link, request)));
+    taken.ifPresent(links::remove);
+    return taken;
+  }
+
+  /**
+   * Returns the connections that have been idle too long. Those beyond the idle share close sooner,
+   * except for the only one of an organisation: its next statement would need a new connection.
+   */
+  List<PooledLink> expired(ConnectionShare share, long nowMs) {
+    List<PooledLink> expired = new ArrayList<>();
+    Set<String> organisations = new HashSet<>();
+    int index = 0;
+    for (PooledLink link : links) {
+      index++;
+      boolean onlyOne = link.organisation().map(organisations::add).orElse(false);
+      if (nowMs - link.idleSinceMs() >= idleLimitMs(index, onlyOne, share)) {
+        expired.add(link);
+      }
+    }
+    return expired;
+  }
+
+  private static long idleLimitMs(int index, boolean onlyOne, ConnectionShare share) {
+    if (index <= share.maxIdle() || onlyOne && share.maxIdle() > 0) {
+      return IDLE_TIMEOUT_MS;
+    }
+    return share.maxIdle() == 0 ? ZERO_SHARE_IDLE_TIMEOUT_MS : EXTRA_IDLE_TIMEOUT_MS;
+  }
+
+  private Optional<PooledLink> first(Predicate<PooledLink> condition) {
+    return links.stream().filter(condition).findFirst();
+  }
+}
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/PooledLink.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/PooledLink.java
@@ -14,6 +14,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -27,6 +28,7 @@
   private static final Consumer<LinkResult> SETUP_COMMAND = result -> {};
 
   private final TargetPool pool;
+  private final Optional<String> organisation;
   private final Deque<Consumer<LinkResult>> pending = new ArrayDeque<>();
   private final Map<PreparedStatement, String> preparedNames = new HashMap<>();
   private Map<String, String> sessionValues = Map.of();
@@ -34,9 +36,11 @@
   private boolean open;
   private boolean closed;
   private long idleSinceMs;
+  private long busySinceMs;
 
-  PooledLink(TargetPool pool) {
+  PooledLink(TargetPool pool, Optional<String> organisation) {
     this.pool = pool;
+    this.organisation = organisation;
   }
 
   /**
@@ -148,6 +152,19 @@
     return sessionValues.equals(session.variables());
   }
 
+  /** Returns the organisation that the connection was opened for, or empty for none. */
+  Optional<String> organisation() {
+    return organisation;
+  }
+
+  long busySinceMs() {
+    return busySinceMs;
+  }
+
+  void setBusySince(long nowMs) {
+    busySinceMs = nowMs;
+  }
+
   long idleSinceMs() {
     return idleSinceMs;
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -2,17 +2,10 @@
 
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
-import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.Target;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Comparator;
-import java.util.Deque;
-import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -20,6 +13,9 @@
 /**
  * A pool of this VM's connections to one target, which are opened on demand.
  *
+ * <p>A connection serves the organisation that it was opened for. When all connections of the share
+ * are open, one of another organisation is closed for a request whose organisation lacks one.
+ *
  * <p>All VMs share the connection limit of a target. After the target has refused a connection, the
  * pool opens no further one for a while.
  */
@@ -36,28 +32,24 @@
   /** Time limit for opening a connection, in milliseconds. */
   static final long OPEN_TIMEOUT_MS = 1_000;
 
-  private static final long IDLE_TIMEOUT_MS = 20_000;
-  private static final long EXTRA_IDLE_TIMEOUT_MS = 2_000;
-
-  /** Short, since VMs without an idle share take turns in using the target's connections. */
-  private static final long ZERO_SHARE_IDLE_TIMEOUT_MS = 300;
+  private static final Fault EVICTED =
+      Fault.of(ResultCode.TARGET_LEAVING, "another organisation needs the connection");
 
   private final Target target;
   private final TargetLinkOpener linkOpener;
   private final Scheduler scheduler;
-  private final Runnable onOpening;
+  private final Consumer<OpenReason> onOpening;
   private final Consumer<Fault> onFault;
-  private final Deque<PooledLink> idle = new ArrayDeque<>();
-  private final Set<PooledLink> busy = new HashSet<>();
-
-  /** Connections that are being opened, or were released before all commands were answered. */
-  private final Set<PooledLink> notReady = new HashSet<>();
-
-  private final List<LinkRequest> requests = new ArrayList<>();
+  private final OrganisationRule rule;
+  private final PoolLinks links;
+  private final LinkQueue requests;
   private ConnectionShare share;
   private long noGrowthUntilMs = Long.MIN_VALUE;
   private boolean retired;
 
+  /** True if the target refused the latest connection for which none was closed before. */
+  private boolean targetFull;
+
   /**
    * Creates a pool without connections.
    *
@@ -65,7 +57,7 @@
    * @param linkOpener opens connections
    * @param scheduler the gateway's clock and timers
    * @param share the maximum number of connections
-   * @param onOpening is called when the pool starts to open a connection
+   * @param onOpening receives the reason when the pool starts to open a connection
    * @param onFault receives the fault of each connection that could not be opened
    */
   public TargetPool(
@@ -73,13 +65,16 @@
       TargetLinkOpener linkOpener,
       Scheduler scheduler,
       ConnectionShare share,
-      Runnable onOpening,
+      Consumer<OpenReason> onOpening,
       Consumer<Fault> onFault) {
     this.target = target;
     this.linkOpener = linkOpener;
     this.scheduler = scheduler;
     this.share = share;
     this.onOpening = onOpening;
+    this.rule = new OrganisationRule(linkOpener.isPerOrganisation());
+    this.links = new PoolLinks(rule);
+    this.requests = new LinkQueue(rule);
     this.onFault = onFault;
   }
 
@@ -90,24 +85,27 @@
    */
   public void acquire(LinkRequest request) {
     if (retired) {
-      request.refused(
-          Fault.of(
-              ResultCode.TARGET_LEAVING, "target " + target.id() + " is no longer in service"));
+      request.refused(notInService());
       return;
     }
-    Optional<PooledLink> free = takeIdle(request.session());
+    Optional<PooledLink> free = links.idle().take(request);
     if (free.isPresent()) {
-      busy.add(free.get());
-      request.granted(free.get());
+      grant(free.get(), request);
       return;
     }
-    enqueue(request);
+    requests.add(request);
     ensureOpening(requests.size());
     if (connectionCount() == 0) {
       scheduler.schedule(NO_CONNECTION_TIMEOUT_MS, () -> refuseIfUnconnected(request));
     }
   }
 
+  private void grant(PooledLink link, LinkRequest request) {
+    link.setBusySince(scheduler.nowMs());
+    links.busy().add(link);
+    request.granted(link);
+  }
+
   private void refuseIfUnconnected(LinkRequest request) {
     if (connectionCount() == 0 && requests.remove(request)) {
       request.refused(
@@ -115,10 +113,6 @@
     }
   }
 
-  private void growForWaiting() {
-    ensureOpening(requests.size());
-  }
-
   /**
    * Removes a waiting request without notifying it.
    *
@@ -134,7 +128,7 @@
    * @param fault the reason
    */
   public void refuseWaiting(Fault fault) {
-    refuseAll(fault);
+    requests.refuseAll(fault);
   }
 
   /**
@@ -143,7 +137,7 @@
    * @return the number
    */
   public int load() {
-    return requests.size() + busy.size();
+    return requests.size() + links.busy().size();
   }
 
   /**
@@ -161,7 +155,16 @@
    * @return the number, including connections that are being opened
    */
   public int connectionCount() {
-    return idle.size() + busy.size() + notReady.size();
+    return links.count();
+  }
+
+  /**
+   * Returns the organisations that have connections.
+   *
+   * @return their names
+   */
+  public Set<String> organisations() {
+    return links.organisations();
   }
 
   /**
@@ -171,8 +174,10 @@
    */
   public void setShare(ConnectionShare changed) {
     share = changed;
-    while (connectionCount() > share.max() && !idle.isEmpty()) {
-      idle.peekLast()
+    while (connectionCount() > share.max() && !links.idle().isEmpty()) {
+      links
+          .idle()
+          .leastRecentlyUsed()
           .abandon(
               Fault.of(ResultCode.TARGET_LEAVING, "more connections than the share of this VM"));
     }
@@ -184,13 +189,8 @@
    */
   public void retire() {
     retired = true;
-    List.copyOf(idle)
-        .forEach(
-            link ->
-                link.abandon(
-                    Fault.of(ResultCode.TARGET_LEAVING, "the target is no longer in service")));
-    refuseAll(
-        Fault.of(ResultCode.TARGET_LEAVING, "target " + target.id() + " is no longer in service"));
+    closeAllIdle(notInService());
+    requests.refuseAll(notInService());
   }
 
   /**
@@ -199,30 +199,19 @@
    * @param cause the reason
    */
   public void closeAllIdle(Fault cause) {
-    List.copyOf(idle).forEach(link -> link.abandon(cause));
+    links.idle().all().forEach(link -> link.abandon(cause));
   }
 
   /** Closes connections that have been idle too long; those beyond the idle share close sooner. */
   public void closeIdle() {
-    int index = 0;
-    for (PooledLink link : List.copyOf(idle)) {
-      index++;
-      long idleMs = scheduler.nowMs() - link.idleSinceMs();
-      if (idleMs >= idleLimitMs(index)) {
-        link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "idle"));
-      }
-    }
-  }
-
-  private long idleLimitMs(int index) {
-    if (index <= share.maxIdle()) {
-      return IDLE_TIMEOUT_MS;
-    }
-    return share.maxIdle() == 0 ? ZERO_SHARE_IDLE_TIMEOUT_MS : EXTRA_IDLE_TIMEOUT_MS;
+    links
+        .idle()
+        .expired(share, scheduler.nowMs())
+        .forEach(link -> link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "idle")));
   }
 
   void release(PooledLink link) {
-    if (!busy.remove(link) || link.isClosed()) {
+    if (!links.busy().remove(link) || link.isClosed()) {
       return;
     }
     if (retired || connectionCount() >= share.max() && requests.isEmpty()) {
@@ -232,33 +221,33 @@
     if (link.hasNoPendingCommands()) {
       makeAvailable(link);
     } else {
-      notReady.add(link);
+      links.notReady().add(link);
     }
   }
 
   void onAllAnswered(PooledLink link) {
-    if (notReady.remove(link)) {
+    if (links.notReady().remove(link)) {
       makeAvailable(link);
     }
   }
 
   void onClosed(PooledLink link, Fault cause) {
-    boolean wasOpening = notReady.remove(link) && !link.isOpen();
-    idle.remove(link);
-    busy.remove(link);
+    boolean wasOpening = links.notReady().remove(link) && !link.isOpen();
+    links.idle().remove(link);
+    links.busy().remove(link);
     if (wasOpening) {
       onFault.accept(cause);
     }
-    boolean full = cause.code() == ResultCode.TARGET_CONNECTIONS_FULL;
-    if (!requests.isEmpty() && connectionCount() == 0 && wasOpening && full) {
-      List.copyOf(requests)
+    if (!requests.isEmpty() && connectionCount() == 0 && wasOpening && isFull(cause)) {
+      requests
+          .all()
           .forEach(
               request ->
                   scheduler.schedule(NO_CONNECTION_TIMEOUT_MS, () -> refuseIfUnconnected(request)));
     } else if (!requests.isEmpty() && connectionCount() == 0 && wasOpening) {
-      refuseAll(cause);
+      requests.refuseAll(cause);
     } else if (!requests.isEmpty()) {
-      ensureOpening(1);
+      ensureOpening(link.organisation().isEmpty() ? 1 : requests.size());
     }
   }
 
@@ -273,75 +262,82 @@
 
   private void makeAvailable(PooledLink link) {
     if (retired) {
-      link.abandon(Fault.of(ResultCode.TARGET_LEAVING, "the target is no longer in service"));
+      link.abandon(notInService());
       return;
     }
-    refuseExpired();
-    if (requests.isEmpty()) {
-      link.setIdleSince(scheduler.nowMs());
-      idle.addFirst(link);
+    requests.refuseExpired(scheduler.nowMs(), target.id());
+    Optional<LinkRequest> next =
+        requests.nextFor(link, request -> links.isServedSoon(request, scheduler.nowMs()));
+    if (next.isEmpty()) {
+      links.idle().add(link, scheduler.nowMs());
       if (share.maxIdle() == 0) {
-        scheduler.schedule(ZERO_SHARE_IDLE_TIMEOUT_MS, this::closeIdle);
+        scheduler.schedule(IdleLinks.ZERO_SHARE_IDLE_TIMEOUT_MS, this::closeIdle);
       }
-      return;
+      ensureOpening(requests.size());
+    } else if (rule.fits(link, next.get())) {
+      requests.remove(next.get());
+      grant(link, next.get());
+    } else if (connectionCount() < maxLinks()) {
+      replace(link, next.get());
+    } else {
+      link.abandon(EVICTED);
     }
-    busy.add(link);
-    requests.removeFirst().granted(link);
   }
 
-  private Optional<PooledLink> takeIdle(SessionState session) {
-    for (PooledLink link : idle) {
-      if (link.isSetUpFor(session)) {
-        idle.remove(link);
-        return Optional.of(link);
-      }
+  /** Opens connections for those of the first waiting requests that have none coming. */
+  private void ensureOpening(int wanted) {
+    Optional<LinkRequest> next = requests.firstWithoutLink(wanted, links.opening());
+    while (next.isPresent() && tryOpen(next.get())) {
+      next = requests.firstWithoutLink(wanted, links.opening());
     }
-    return Optional.ofNullable(idle.pollFirst());
   }
 
-  private void enqueue(LinkRequest request) {
-    int index = requests.size();
-    while (index > 0 && requests.get(index - 1).priority() > request.priority()) {
-      index--;
+  /** Opens a connection, or closes one to make room; returns false if neither is possible. */
+  private boolean tryOpen(LinkRequest request) {
+    if (retired || scheduler.nowMs() < noGrowthUntilMs) {
+      return false;
     }
-    requests.add(index, request);
-  }
-
-  private void refuseExpired() {
-    long nowMs = scheduler.nowMs();
-    for (LinkRequest request : List.copyOf(requests)) {
-      if (request.deadlineMs() <= nowMs && requests.remove(request)) {
-        request.refused(
-            Fault.of(
-                ResultCode.DEADLINE_EXCEEDED,
-                "timed out while waiting for a connection to " + target.id()));
-      }
+    boolean hasRoom = connectionCount() < maxLinks();
+    if (hasRoom && (!targetFull || links.idle().isEmpty())) {
+      Optional<String> organisation = rule.requiredBy(request);
+      boolean first = !links.hasAnyOf(organisation);
+      open(register(organisation), first ? OpenReason.FIRST : OpenReason.ADDITIONAL);
+      return true;
+    }
+    if (links.idle().isEmpty()) {
+      return false;
     }
+    targetFull = false;
+    PooledLink evicted = links.idle().leastRecentlyUsed();
+    if (connectionCount() > maxLinks()) {
+      evicted.abandon(EVICTED);
+    } else {
+      replace(evicted, request);
+    }
+    return true;
   }
 
-  private void ensureOpening(int wanted) {
-    long alreadyOpening = notReady.stream().filter(link -> !link.isOpen()).count();
-    for (long missing = wanted - alreadyOpening; missing > 0 && canGrow(); missing--) {
-      openLink();
-    }
+  /** Returns the share, plus one connection if the first waiting request is a probe. */
+  private int maxLinks() {
+    return requests.startsWithProbe() ? share.max() + 1 : share.max();
   }
 
-  private boolean canGrow() {
-    return !retired && connectionCount() < maxLinks() && scheduler.nowMs() >= noGrowthUntilMs;
+  /** Closes a connection that fits no waiting request, and opens one for a request. */
+  private void replace(PooledLink evicted, LinkRequest request) {
+    PooledLink pooled = register(rule.requiredBy(request));
+    evicted.abandon(EVICTED);
+    open(pooled, OpenReason.EVICTED_OTHER);
   }
 
-  /** Returns the share, plus one connection if the first waiting request is a probe. */
-  private int maxLinks() {
-    boolean probe =
-        !requests.isEmpty() && requests.getFirst().priority() == LinkRequest.INTERNAL_PRIORITY;
-    return probe ? share.max() + 1 : share.max();
+  private PooledLink register(Optional<String> organisation) {
+    PooledLink pooled = new PooledLink(this, organisation);
+    links.notReady().add(pooled);
+    return pooled;
   }
 
-  private void openLink() {
-    PooledLink pooled = new PooledLink(this);
-    notReady.add(pooled);
-    onOpening.run();
-    pooled.attach(linkOpener.open(target, Optional.empty(), new Listener(pooled)));
+  private void open(PooledLink pooled, OpenReason reason) {
+    onOpening.accept(reason);
+    pooled.attach(linkOpener.open(target, pooled.organisation(), new Listener(this, pooled)));
     scheduler.schedule(OPEN_TIMEOUT_MS, () -> onOpenTimeout(pooled));
   }
 
@@ -354,35 +350,36 @@
     }
   }
 
-  private void refuseAll(Fault fault) {
-    List<LinkRequest> refused =
-        requests.stream().sorted(Comparator.comparingInt(LinkRequest::priority)).toList();
-    requests.clear();
-    refused.forEach(request -> request.refused(fault));
+  private Fault notInService() {
+    return Fault.of(
+        ResultCode.TARGET_LEAVING, "target " + target.id() + " is no longer in service");
   }
 
-  private final class Listener implements TargetLinkOpener.Listener {
-    private final PooledLink pooled;
-
-    private Listener(PooledLink pooled) {
-      this.pooled = pooled;
+  private void onOpened(PooledLink pooled, LinkReply reply) {
+    targetFull = reply.fault().filter(TargetPool::isFull).isPresent();
+    if (targetFull) {
+      noGrowthUntilMs = scheduler.nowMs() + FULL_BACKOFF_MS;
+      scheduler.schedule(FULL_BACKOFF_MS, () -> ensureOpening(requests.size()));
+    }
+    if (reply.fault().isPresent()) {
+      pooled.abandon(reply.fault().get());
+      return;
+    }
+    pooled.onOpened();
+    if (links.notReady().remove(pooled)) {
+      makeAvailable(pooled);
     }
+  }
+
+  private static boolean isFull(Fault fault) {
+    return fault.code() == ResultCode.TARGET_CONNECTIONS_FULL;
+  }
+
+  private record Listener(TargetPool pool, PooledLink pooled) implements TargetLinkOpener.Listener {
 
     @Override
     public void opened(LinkReply reply) {
-      if (reply.fault().isPresent()) {
-        Fault fault = reply.fault().get();
-        if (fault.code() == ResultCode.TARGET_CONNECTIONS_FULL) {
-          noGrowthUntilMs = scheduler.nowMs() + FULL_BACKOFF_MS;
-          scheduler.schedule(FULL_BACKOFF_MS, TargetPool.this::growForWaiting);
-        }
-        pooled.abandon(fault);
-        return;
-      }
-      pooled.onOpened();
-      if (notReady.remove(pooled)) {
-        makeAvailable(pooled);
-      }
+      pool.onOpened(pooled, reply);
     }
 
     @Override
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
 import io.lycheejunction.gateway.pool.ConnectionShare;
+import io.lycheejunction.gateway.pool.OpenReason;
 import io.lycheejunction.gateway.pool.TargetPool;
 import io.lycheejunction.gateway.route.ServiceLimits;
 import io.lycheejunction.gateway.schedule.Scheduler;
@@ -16,6 +17,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * The directory of all registered targets.
@@ -44,6 +46,7 @@
   private final Map<String, Long> missingSinceMs = new HashMap<>();
   private Map<String, ServiceLimits> serviceLimits = Map.of();
   private int vmCount = 1;
+  private Consumer<OpenReason> openingListener = reason -> {};
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, Target> lastOfDropped = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
@@ -59,6 +62,15 @@
     this.linkOpener = linkOpener;
   }
 
+  /**
+   * Sets the callback that receives the reason of each connection that is opened.
+   *
+   * @param listener the callback
+   */
+  public void setOpeningListener(Consumer<OpenReason> listener) {
+    openingListener = listener;
+  }
+
   /**
    * Updates the directory to the current registrations.
    *
@@ -252,7 +264,7 @@
             linkOpener,
             scheduler,
             connectionShareOf(target.service()),
-            () -> onConnecting(target.id()),
+            reason -> onConnecting(target.id(), reason),
             fault -> onConnectFault(target.id(), fault));
     return new TargetHandle(target, pool, newestProvenTerm(target.service()), scheduler.nowMs());
   }
@@ -299,7 +311,8 @@
   }
 
   /** Opening a connection counts as a request that the target answers without doing any work. */
-  private void onConnecting(String id) {
+  private void onConnecting(String id, OpenReason reason) {
+    openingListener.accept(reason);
     find(id).ifPresent(handle -> handle.recordRequest(scheduler.nowMs()));
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -61,7 +61,7 @@
   public final ManualScheduler scheduler = new ManualScheduler();
   public final FakeLinks links = new FakeLinks();
   public final Targets targets = new Targets(scheduler, links);
-  public final Targets holders = new Targets(scheduler, links);
+  public final Targets holders = new Targets(scheduler, links.betweenVms());
   public final Role role = new Role();
   public final ServicePositions positions = new ServicePositions();
   public final PrimaryGate gate = new PrimaryGate(scheduler);
--- a/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/link/FakeLinks.java
@@ -118,7 +118,23 @@
 
   private static final String PRIMARY = "primary";
 
-  private final List<FakeLink> opened = new ArrayList<>();
+  private final List<FakeLink> opened;
+  private final boolean perOrganisation;
+
+  /** Creates connections to targets, each of which serves one organisation. */
+  public FakeLinks() {
+    this(new ArrayList<>(), true);
+  }
+
+  private FakeLinks(List<FakeLink> opened, boolean perOrganisation) {
+    this.opened = opened;
+    this.perOrganisation = perOrganisation;
+  }
+
+  /** Returns an opener of connections between VMs, which are recorded with the others. */
+  public FakeLinks betweenVms() {
+    return new FakeLinks(opened, false);
+  }
 
   @Override
   public TargetLink open(Target target, Optional<String> organisation, Listener listener) {
@@ -127,6 +143,11 @@
     return link;
   }
 
+  @Override
+  public boolean isPerOrganisation() {
+    return perOrganisation;
+  }
+
   @Override
   public Optional<StatusReport> statusOf(LinkReply reply) {
     boolean primary = reply.rows().contains(PRIMARY);
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -75,7 +75,7 @@
           links,
           scheduler,
           new ConnectionShare(2, 1),
-          () -> {},
+          reason -> {},
           connectFaults::add);
 
   private RecordingRequest acquire(SessionState session, int priority) {
