Have two holders in each failure domain where there are organisations

Need: with up to four holders in each of three domains, a holder's part of 70 connections to a target is 5, fewer than the organisations that it serves.

Change: SlotCount allows two holders a domain if the configuration contains organisations; a part is 11 connections then. Without organisations the number is as before.

Evidence: SlotCountTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/holder/SlotCount.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/holder/SlotCount.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.gateway.holder;
 
+import io.lycheejunction.gateway.organisation.Organisations;
 import io.lycheejunction.gateway.route.ServiceLimits;
 import java.util.Collection;
 
@@ -17,6 +18,13 @@
   /** The most holders per failure domain, which bounds the messages that holders exchange. */
   static final int MAX_HOLDERS_PER_DOMAIN = 4;
 
+  /**
+   * The holders per failure domain where there are organisations. The organisations of a holder
+   * share its part of a target's connections, so few large parts need fewer new connections than
+   * many small ones.
+   */
+  static final int HOLDERS_PER_DOMAIN_WITH_ORGANISATIONS = 2;
+
   /** The connections of each target that stay free for VMs that start or restart. */
   private static final int RESERVED_CONNECTIONS = 2;
 
@@ -27,10 +35,13 @@
    *
    * @param limits the limits of the services
    * @param failureDomains the number of failure domains
+   * @param organisations the organisations of callers
    * @return the number, at least one
    */
-  public static int of(Collection<ServiceLimits> limits, int failureDomains) {
-    int count = MAX_HOLDERS_PER_DOMAIN;
+  public static int of(
+      Collection<ServiceLimits> limits, int failureDomains, Organisations organisations) {
+    int count =
+        organisations.isEmpty() ? MAX_HOLDERS_PER_DOMAIN : HOLDERS_PER_DOMAIN_WITH_ORGANISATIONS;
     for (ServiceLimits limit : limits) {
       if (limit.maxConnections() > 0) {
         count = Math.min(count, holdersPerDomain(limit.maxConnections(), failureDomains));
--- a/gateway/src/test/java/io/lycheejunction/gateway/holder/SlotCountTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/holder/SlotCountTest.java
@@ -2,14 +2,19 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import io.lycheejunction.gateway.organisation.Organisation;
+import io.lycheejunction.gateway.organisation.Organisations;
 import io.lycheejunction.gateway.route.ServiceLimits;
 import java.util.List;
+import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class SlotCountTest {
 
   private static int count(int maxConnections, int failureDomains) {
-    return SlotCount.of(List.of(new ServiceLimits(maxConnections, 0)), failureDomains);
+    return SlotCount.of(
+        List.of(new ServiceLimits(maxConnections, 0)), failureDomains, Organisations.empty());
   }
 
   /** Covers six VMs and targets that accept 21 connections: every VM can be a holder. */
@@ -57,8 +62,23 @@
     assertEquals(1, count(3, 4));
   }
 
+  /** Load: 73 organisations and targets that accept 70 connections, of which each needs one. */
+  @Test
+  void shouldLeaveLargePartsOfConnectionsWhenThereAreOrganisations() {
+    Organisations organisations =
+        Organisations.of(Map.of(new Organisation("acme", 1, Optional.empty()), List.of("key")));
+
+    assertEquals(2, SlotCount.of(List.of(new ServiceLimits(70, 0)), 3, organisations));
+    assertEquals(1, SlotCount.of(List.of(new ServiceLimits(8, 0)), 3, organisations));
+  }
+
   @Test
   void shouldUseTheLowestLimitWhenServicesDiffer() {
-    assertEquals(2, SlotCount.of(List.of(new ServiceLimits(21, 0), new ServiceLimits(500, 0)), 3));
+    assertEquals(
+        2,
+        SlotCount.of(
+            List.of(new ServiceLimits(21, 0), new ServiceLimits(500, 0)),
+            3,
+            Organisations.empty()));
   }
 }
