Send the statements of an organisation to the same holder from all VMs

Need: a target has fewer connections than VMs and organisations, so statements of one organisation have to meet at few holders. VMs chose the nearest holder, and holders ran the statements of their own callers themselves.

Change: HolderPlacement orders the holders for an organisation and a service by rendezvous hashing. A VM sends a statement to the first that is available, and tries the next if that one has not run it. A holder forwards statements of its own callers to a holder that comes before it, and runs them itself if none is available or that one has not run them. A statement that was forwarded is marked as such and never forwarded again. A holder that is only slow or busy stays the first choice (TargetHandle.isUnavailable), since a change of holder needs new connections. Statements without organisation are sent as before.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
@@ -9,6 +9,8 @@
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
 import java.util.Objects;
+import java.util.Optional;
+import java.util.Set;
 
 /**
  * The components shared by all running statements.
@@ -29,7 +31,7 @@
     Targets targets,
     ServicePositions positions,
     TargetSelector direct,
-    TargetSelector forwarding,
+    TargetSelector.Forwarding forwarding,
     Role role,
     PrimaryGate gate,
     Hedging hedging,
@@ -59,11 +61,35 @@
   }
 
   /**
-   * Returns the selector for statements that start now.
+   * Returns the selector for a statement that starts now.
    *
-   * @return the selector in force
+   * <p>A statement that was forwarded to this VM is never forwarded again. A holder forwards a
+   * statement of its own caller to an available holder that comes before it in the order for the
+   * caller's organisation.
+   *
+   * @param request the statement
+   * @return the selector for its first try
    */
-  TargetSelector selector() {
+  TargetSelector selector(StatementRequest request) {
+    if (request.forwarded()) {
+      return direct;
+    }
+    if (request.organisation().isEmpty() || !role.isForwarding() && !role.isHolding()) {
+      return selector();
+    }
+    String organisation = request.organisation().get();
+    if (role.isForwarding()) {
+      return new TargetSelector.Placed(forwarding, organisation, Optional.empty());
+    }
+    TargetSelector placed =
+        new TargetSelector.Placed(forwarding, organisation, Optional.of(direct));
+    return placed
+        .choose(request.route(), Optional.empty(), Set.of(), scheduler.nowMs())
+        .map(holder -> placed)
+        .orElse(direct);
+  }
+
+  private TargetSelector selector() {
     return role.isForwarding() ? forwarding : direct;
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -23,12 +23,15 @@
   private static final long UNSENT_EXTRA_WAIT_MS = 130;
 
   private final DispatchContext dispatch;
-  private final TargetSelector selector;
   private final StatementRequest request;
   private final Completion completion;
   private final long startedMs;
   private final Set<String> tried = new HashSet<>();
   private final List<StatementAttempt> attempts = new ArrayList<>();
+
+  /** Selects the target of the next try. */
+  private TargetSelector selector;
+
   private Scheduler.Timer timeoutTimer;
   private Scheduler.Timer overdueTimer;
   private StatementAttempt latestAttempt;
@@ -46,7 +49,7 @@
   public SingleStatement(
       DispatchContext dispatch, StatementRequest request, Completion completion) {
     this.dispatch = dispatch;
-    this.selector = dispatch.selector();
+    this.selector = dispatch.selector(request);
     this.request = request;
     this.completion = completion;
     this.startedMs = dispatch.scheduler().nowMs();
@@ -91,7 +94,7 @@
   @Override
   public void refused(StatementAttempt attempt, Fault fault) {
     lastFault = fault;
-    if (!ended && !selector.isRetriedAfter(fault) && isLastPending(attempt)) {
+    if (!ended && !attempt.selector().isRetriedAfter(fault) && isLastPending(attempt)) {
       fail(finalFault());
       return;
     }
@@ -135,6 +138,9 @@
     if (ended) {
       return;
     }
+    if (!attempts.isEmpty()) {
+      selector = selector.afterRefusal();
+    }
     if (attempts.size() >= selector.maxTries()) {
       fail(finalFault());
       return;
@@ -181,7 +187,7 @@
     if (ended) {
       return;
     }
-    if (!attempt.isSent() && selector.retriesUnsentElsewhere()) {
+    if (!attempt.isSent() && attempt.selector().retriesUnsentElsewhere()) {
       overdueTimer =
           dispatch.scheduler().schedule(UNSENT_EXTRA_WAIT_MS, () -> retryUnsent(attempt));
       return;
@@ -190,8 +196,20 @@
       return;
     }
     if (attempts.size() < selector.maxTries() && dispatch.hedging().tryHedge()) {
-      Optional<LogPosition> floor = floor();
-      floor.flatMap(ignored -> choose(floor)).ifPresent(target -> startAttempt(target, floor));
+      hedge();
+    }
+  }
+
+  /**
+   * Sends a read to a second target. Only a holder that had forwarded the read sends it to the
+   * primary, since it would otherwise not use its own connections.
+   */
+  private void hedge() {
+    TargetSelector before = selector;
+    selector = selector.afterRefusal();
+    Optional<LogPosition> floor = floor();
+    if (floor.isPresent() || selector != before) {
+      choose(floor).ifPresent(target -> startAttempt(target, floor));
     }
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementAttempt.java
@@ -65,6 +65,10 @@
     return target;
   }
 
+  TargetSelector selector() {
+    return selector;
+  }
+
   Optional<LogPosition> floor() {
     return floor;
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
@@ -25,6 +25,7 @@
  * @param statement the statement as the caller sent it
  * @param preparedStatement the text of the prepared statement and whether it writes; empty unless
  *     the statement executes a prepared one
+ * @param forwarded true if another VM has forwarded the statement to this one
  */
 public record StatementRequest(
     String requestId,
@@ -33,7 +34,8 @@
     SessionState session,
     LogPosition sessionCommit,
     CallerStatement statement,
-    Optional<PreparedStatement> preparedStatement) {
+    Optional<PreparedStatement> preparedStatement,
+    boolean forwarded) {
   /** Rejects null components. */
   public StatementRequest {
     Objects.requireNonNull(requestId, "requestId is null");
@@ -45,6 +47,37 @@
     Objects.requireNonNull(preparedStatement, "preparedStatement is null");
   }
 
+  /**
+   * Creates a statement of a caller of this VM.
+   *
+   * @param requestId the caller's identifier of the request
+   * @param organisation the organisation of the caller, or empty if it has none
+   * @param route the route in force for the statement
+   * @param session the session state to set the connection up with
+   * @param sessionCommit the log position of the latest commit of the session
+   * @param statement the statement as the caller sent it
+   * @param preparedStatement the text of the prepared statement and whether it writes; empty unless
+   *     the statement executes a prepared one
+   */
+  public StatementRequest(
+      String requestId,
+      Optional<String> organisation,
+      Route route,
+      SessionState session,
+      LogPosition sessionCommit,
+      CallerStatement statement,
+      Optional<PreparedStatement> preparedStatement) {
+    this(
+        requestId,
+        organisation,
+        route,
+        session,
+        sessionCommit,
+        statement,
+        preparedStatement,
+        false);
+  }
+
   /**
    * Returns whether the statement writes.
    *
@@ -70,7 +103,8 @@
         session,
         sessionCommit,
         statement,
-        preparedStatement);
+        preparedStatement,
+        forwarded);
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -3,14 +3,20 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.holder.HolderPlacement;
+import io.lycheejunction.gateway.holder.HolderTargets;
 import io.lycheejunction.gateway.lease.PrimaryUse;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.target.TargetHandle;
 import io.lycheejunction.gateway.target.Targets;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 
 /** Selects the target of a statement and the log position that the target must have reached. */
 public sealed interface TargetSelector {
@@ -97,6 +103,14 @@
    */
   boolean retriesUnsentElsewhere();
 
+  /**
+   * Returns the selector for the next try of a statement, after a target that this one has selected
+   * did not run it.
+   *
+   * @return the selector, which may be this one
+   */
+  TargetSelector afterRefusal();
+
   /**
    * Selects among the targets of a service.
    *
@@ -166,6 +180,11 @@
     public boolean retriesUnsentElsewhere() {
       return false;
     }
+
+    @Override
+    public TargetSelector afterRefusal() {
+      return this;
+    }
   }
 
   /**
@@ -174,8 +193,10 @@
    *
    * @param holders the holders, as targets of each service
    * @param holderSelector selects the holder of each statement
+   * @param vm the name of this VM
    */
-  record Forwarding(Targets holders, LeastCostSelector holderSelector) implements TargetSelector {
+  record Forwarding(Targets holders, LeastCostSelector holderSelector, String vm)
+      implements TargetSelector {
     private static final int MAX_TRIES = 3;
 
     /** The time that the reply of a holder takes, in milliseconds. */
@@ -242,5 +263,105 @@
     public boolean retriesUnsentElsewhere() {
       return true;
     }
+
+    @Override
+    public TargetSelector afterRefusal() {
+      return this;
+    }
+  }
+
+  /**
+   * Selects among the holders in the order that all VMs use for an organisation, so that few
+   * holders need connections for it.
+   *
+   * @param forwarding the holders, and how statements are forwarded to them
+   * @param organisation the organisation of the statement
+   * @param own selects targets if this VM is a holder itself, which then runs the statements for
+   *     which it comes first, and those that an earlier holder did not run
+   */
+  record Placed(Forwarding forwarding, String organisation, Optional<TargetSelector> own)
+      implements TargetSelector {
+
+    @Override
+    public Optional<LogPosition> floor(Route route, LogPosition sessionCommit, long nowMs) {
+      return forwarding.floor(route, sessionCommit, nowMs);
+    }
+
+    /**
+     * Returns the first holder that is available. Without one, a VM that is no holder tries any
+     * that is not known to be unreachable.
+     *
+     * @return the holder, or empty if this VM comes first or there is none
+     */
+    @Override
+    public Optional<TargetHandle> choose(
+        Route route, Optional<LogPosition> floor, Set<String> tried, long nowMs) {
+      List<TargetHandle> ordered = holdersBeforeOwn(route.service());
+      Predicate<TargetHandle> untried = holder -> !tried.contains(holder.target().id());
+      Optional<TargetHandle> available =
+          ordered.stream().filter(untried.and(holder -> !holder.isUnavailable(nowMs))).findFirst();
+      if (available.isPresent() || own.isPresent()) {
+        return available;
+      }
+      return ordered.stream()
+          .filter(untried.and(holder -> !holder.isUnreachable(nowMs)))
+          .findFirst();
+    }
+
+    private List<TargetHandle> holdersBeforeOwn(String service) {
+      Map<String, TargetHandle> byVm = new HashMap<>();
+      for (TargetHandle holder : forwarding.holders().of(service)) {
+        if (!forwarding.holders().isLeaving(holder)) {
+          byVm.put(HolderTargets.vmOf(holder.target()), holder);
+        }
+      }
+      Set<String> vms = new HashSet<>(byVm.keySet());
+      own.ifPresent(selector -> vms.add(forwarding.vm()));
+      return HolderPlacement.order(vms, organisation, service).stream()
+          .takeWhile(vm -> own.isEmpty() || !vm.equals(forwarding.vm()))
+          .map(byVm::get)
+          .toList();
+    }
+
+    /** The holder decides whether it may use the primary. */
+    @Override
+    public boolean isUsable(TargetHandle target, Optional<LogPosition> floor, long nowMs) {
+      return true;
+    }
+
+    @Override
+    public CallerStatement.Begin begin(boolean readOnly, Optional<LogPosition> floor) {
+      return forwarding.begin(readOnly, floor);
+    }
+
+    @Override
+    public StatementRequest forTarget(StatementRequest request, long remainingMs) {
+      return forwarding.forTarget(request, remainingMs);
+    }
+
+    @Override
+    public int maxTries() {
+      return forwarding.maxTries();
+    }
+
+    @Override
+    public boolean isRetriedAfter(Fault fault) {
+      return forwarding.isRetriedAfter(fault);
+    }
+
+    @Override
+    public boolean hasTargets() {
+      return own.isPresent() || forwarding.hasTargets();
+    }
+
+    @Override
+    public boolean retriesUnsentElsewhere() {
+      return true;
+    }
+
+    @Override
+    public TargetSelector afterRefusal() {
+      return own.orElse(this);
+    }
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -24,10 +24,10 @@
  */
 public final class Transaction {
   private final DispatchContext dispatch;
-  private final TargetSelector selector;
   private final Route route;
   private final boolean readOnly;
   private final Set<String> tried = new HashSet<>();
+  private TargetSelector selector;
   private TargetHandle target;
   private PooledLink link;
   private Optional<BeginAttempt> beginAttempt = Optional.empty();
@@ -66,7 +66,6 @@
    */
   public Transaction(DispatchContext dispatch, Route route, boolean readOnly) {
     this.dispatch = dispatch;
-    this.selector = dispatch.selector();
     this.route = route;
     this.readOnly = readOnly;
   }
@@ -139,6 +138,8 @@
   }
 
   private void tryBegin() {
+    boolean first = currentRun.tries == 0;
+    selector = first ? dispatch.selector(currentRun.request) : selector.afterRefusal();
     if (currentRun.tries >= selector.maxTries()) {
       fail(
           new Fault(
--- a/gateway/src/main/java/io/lycheejunction/gateway/holder/HolderTargets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/holder/HolderTargets.java
@@ -40,6 +40,16 @@
     targets.divideConnections(limits, 1);
   }
 
+  /**
+   * Returns the name of the VM that a target stands for.
+   *
+   * @param target a target made from a holder
+   * @return the name of the holder
+   */
+  public static String vmOf(Target target) {
+    return target.id().substring(0, target.id().length() - target.service().length() - 1);
+  }
+
   private static Target targetOf(Holder holder, String service) {
     return new Target(
         holder.vm() + '/' + service,
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -293,7 +293,8 @@
             state,
             lastCommit,
             query.statement(),
-            preparedStatement);
+            preparedStatement,
+            isForwarded());
     running = new SingleStatement(gateway.dispatch(), request, new SingleCompletion(request));
     running.start();
   }
@@ -307,7 +308,8 @@
             state,
             lastCommit,
             query.statement(),
-            preparedStatement);
+            preparedStatement,
+            isForwarded());
     transaction.run(request, new TransactionCompletion(request));
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -32,6 +32,7 @@
   private long claimedTerm;
   private double latencyMs = INITIAL_LATENCY_MS;
   private long avoidUntilMs = Long.MIN_VALUE;
+  private long unavailableUntilMs = Long.MIN_VALUE;
   private long laggingUntilMs = Long.MIN_VALUE;
   private long notPrimaryUntilRevision = Long.MIN_VALUE;
   private long provenTerm;
@@ -166,6 +167,19 @@
     return isGone(nowMs) && nowMs - lastRequestMs < RETRY_GONE_AFTER_MS;
   }
 
+  /**
+   * Returns whether the target probably can't serve a request: it is unreachable, was unreachable
+   * or refused all work a moment ago, or has left an answer overdue and sent no other one since. A
+   * target that is only slow or busy is available.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @return true if another target should be used
+   */
+  public boolean isUnavailable(long nowMs) {
+    boolean silent = overdueSinceMs > lastAnswerMs && lastAnswerMs < nowMs - GONE_AFTER_MS;
+    return isUnreachable(nowMs) || nowMs < unavailableUntilMs || isAvoided(nowMs) && silent;
+  }
+
   /**
    * Records that an answer of any kind was received from the target.
    *
@@ -212,6 +226,7 @@
     latencyMs += LATENCY_SMOOTHING * (tookMs - latencyMs);
     applied = applied.max(position);
     avoidUntilMs = Long.MIN_VALUE;
+    unavailableUntilMs = Long.MIN_VALUE;
     recordAnswer(nowMs);
   }
 
@@ -226,8 +241,10 @@
       case TARGET_BUSY, TARGET_CONNECTIONS_FULL -> avoidUntilMs = nowMs + BUSY_AVOID_MS;
       case NOT_FRESH -> laggingUntilMs = nowMs + LAGGING_AVOID_MS;
       case NOT_PRIMARY -> recordReplaced();
-      case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION, SHUTTING_DOWN ->
-          avoidUntilMs = nowMs + UNREACHABLE_AVOID_MS;
+      case TARGET_UNREACHABLE, WRONG_TARGET, NO_CONNECTION, SHUTTING_DOWN -> {
+        avoidUntilMs = nowMs + UNREACHABLE_AVOID_MS;
+        unavailableUntilMs = avoidUntilMs;
+      }
       default -> {
         // Other faults do not indicate a problem of the target.
       }
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/DispatchFixture.java
@@ -55,6 +55,9 @@
     }
   }
 
+  /** The name of this VM. */
+  public static final String VM = "vm-self";
+
   /** The time limit of statements, in milliseconds. */
   public static final long TIMEOUT_MS = 1_000;
 
@@ -82,7 +85,8 @@
             positions,
             new TargetSelector.Direct(
                 targets, positions, new LeastCostSelector(targets, "domain-i-2"), primaryUse),
-            new TargetSelector.Forwarding(holders, new LeastCostSelector(holders, "domain-i-2")),
+            new TargetSelector.Forwarding(
+                holders, new LeastCostSelector(holders, "domain-i-2"), VM),
             role,
             gate,
             new Hedging(),
