Open connections of no organisation for statements of public routes

A statement without an organisation could run on the connection of one, which the target counts as that organisation's. Only probes of the gateway use any connection now. The test that allowed both is split; the second half is replaced by the stricter rule.

--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/OrganisationRule.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/OrganisationRule.java
@@ -10,15 +10,20 @@
  */
 record OrganisationRule(boolean perOrganisation) {
 
-  /** Returns the organisation that a connection must belong to, or empty if any will do. */
+  /** Returns the organisation for which a connection is opened for a request. */
   Optional<String> requiredBy(LinkRequest request) {
-    boolean any = !perOrganisation || request.priority() == LinkRequest.INTERNAL_PRIORITY;
-    return any ? Optional.empty() : request.organisation();
+    return isServedByAny(request) ? Optional.empty() : request.organisation();
   }
 
-  /** Returns whether a connection may serve a request. */
+  /**
+   * Returns whether a connection may serve a request. A statement without an organisation does not
+   * run on the connection of one, since the target would count it as theirs.
+   */
   boolean fits(PooledLink link, LinkRequest request) {
-    Optional<String> required = requiredBy(request);
-    return required.isEmpty() || required.equals(link.organisation());
+    return isServedByAny(request) || link.organisation().equals(request.organisation());
+  }
+
+  private boolean isServedByAny(LinkRequest request) {
+    return !perOrganisation || request.priority() == LinkRequest.INTERNAL_PRIORITY;
   }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
@@ -234,15 +234,24 @@
   }
 
   @Test
-  void shouldUseAnyIdleConnectionWhenRequestIsProbeOrHasNoOrganisation() {
+  void shouldUseAnyIdleConnectionWhenRequestIsProbe() {
     Request first = open("acme");
     first.release();
 
     Request probe = acquire(Optional.of("bolt"), LinkRequest.INTERNAL_PRIORITY);
+
     assertEquals(first.granted, probe.granted);
-    probe.release();
+  }
+
+  /** Failure: a target counts the statement of a public route as one of an organisation. */
+  @Test
+  void shouldOpenAConnectionOfNoOrganisationWhenRequestHasNone() {
+    open("acme").release();
+
+    Request request = acquire(Optional.empty(), 1);
 
-    assertEquals(first.granted, acquire(Optional.empty(), 1).granted);
+    assertTrue(request.granted.isEmpty());
+    assertEquals(Optional.empty(), links.opened().getLast().organisation());
   }
 
   /** Failure: a target whose connections other VMs use up refuses this VM's organisations. */
