Show the connections that organisations need, and keep idle ones longer

Need: new connections cost slots of the targets; operators have to see how many are opened and why.

An idle connection of an organisation is kept for 20 s.

Evidence: OrganisationPoolTest, GatewayMetricsTest, PlacedForwardingTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/metrics/GatewayMetrics.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/metrics/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.metrics;
 
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.pool.OpenReason;
 import io.micrometer.core.instrument.Counter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
@@ -75,6 +76,22 @@
     latencies.computeIfAbsent(service, this::newTimer).record(tookMs, TimeUnit.MILLISECONDS);
   }
 
+  /**
+   * Records that a connection to a target is being opened.
+   *
+   * @param reason why it is opened
+   */
+  public void recordConnection(OpenReason reason) {
+    if (registry.isEmpty()) {
+      buffer(() -> recordConnection(reason));
+      return;
+    }
+    Counter.builder("gateway_target_connections_opened")
+        .tag("reason", reason.name())
+        .register(registry.get())
+        .increment();
+  }
+
   /**
    * Registers a gauge.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/IdleLinks.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/IdleLinks.java
@@ -3,10 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
-import java.util.Set;
 import java.util.function.Predicate;
 
 /** The idle connections of a pool, the most recently used first. */
@@ -65,27 +63,26 @@
 
   /**
    * Returns the connections that have been idle too long. Those beyond the idle share close sooner,
-   * except for the only one of an organisation: its next statement would need a new connection.
+   * except for those of an organisation: its next statement would probably need a new one.
    */
   List<PooledLink> expired(ConnectionShare share, long nowMs) {
     List<PooledLink> expired = new ArrayList<>();
-    Set<String> organisations = new HashSet<>();
     int index = 0;
     for (PooledLink link : links) {
       index++;
-      boolean onlyOne = link.organisation().map(organisations::add).orElse(false);
-      if (nowMs - link.idleSinceMs() >= idleLimitMs(index, onlyOne, share)) {
+      boolean kept = index <= share.maxIdle() || link.organisation().isPresent();
+      if (nowMs - link.idleSinceMs() >= idleLimitMs(kept, share)) {
         expired.add(link);
       }
     }
     return expired;
   }
 
-  private static long idleLimitMs(int index, boolean onlyOne, ConnectionShare share) {
-    if (index <= share.maxIdle() || onlyOne && share.maxIdle() > 0) {
-      return IDLE_TIMEOUT_MS;
+  private static long idleLimitMs(boolean kept, ConnectionShare share) {
+    if (share.maxIdle() == 0) {
+      return ZERO_SHARE_IDLE_TIMEOUT_MS;
     }
-    return share.maxIdle() == 0 ? ZERO_SHARE_IDLE_TIMEOUT_MS : EXTRA_IDLE_TIMEOUT_MS;
+    return kept ? IDLE_TIMEOUT_MS : EXTRA_IDLE_TIMEOUT_MS;
   }
 
   private Optional<PooledLink> first(Predicate<PooledLink> condition) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -211,6 +211,28 @@
     return byId.values();
   }
 
+  /**
+   * Returns the number of connections to all targets.
+   *
+   * @return the number, including connections that are being opened
+   */
+  public int connectionCount() {
+    return byId.values().stream().mapToInt(handle -> handle.pool().connectionCount()).sum();
+  }
+
+  /**
+   * Returns the number of organisations that have a connection to any target.
+   *
+   * @return the number, 0 where there are no organisations
+   */
+  public int connectedOrganisations() {
+    return (int)
+        byId.values().stream()
+            .flatMap(handle -> handle.pool().organisations().stream())
+            .distinct()
+            .count();
+  }
+
   /**
    * Returns whether no target is known.
    *
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/PlacedForwardingTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/PlacedForwardingTest.java
@@ -183,6 +183,8 @@
 
     FakeLink link = fixture.links.last("i-1").greet();
     assertEquals(Optional.of(OWN), link.organisation());
+    assertEquals(1, fixture.targets.connectionCount());
+    assertEquals(1, fixture.targets.connectedOrganisations());
     assertEquals(DispatchFixture.write(), firstCommand(link).statement());
     assertTrue(fixture.links.to(FIRST).isEmpty());
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/metrics/GatewayMetricsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/metrics/GatewayMetricsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import io.lycheejunction.core.result.ResultCode;
+import io.lycheejunction.gateway.pool.OpenReason;
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import org.junit.jupiter.api.Test;
 
@@ -39,4 +40,19 @@
 
     assertEquals(GatewayMetrics.MAX_PENDING, doneCount());
   }
+
+  /** Failure: a metric with a label for each organisation, whose number is not bounded. */
+  @Test
+  void shouldCountConnectionsByReasonOnlyWhenTheyAreOpened() {
+    ConnectionLog log = new ConnectionLog(metrics);
+    log.record(OpenReason.FIRST);
+    metrics.connect(registry);
+    log.record(OpenReason.FIRST);
+    log.record(OpenReason.EVICTED_OTHER);
+
+    assertEquals(
+        2,
+        registry.get("gateway_target_connections_opened").tag("reason", "FIRST").counter().count());
+    assertEquals(2, registry.find("gateway_target_connections_opened").counters().size());
+  }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
@@ -261,14 +261,17 @@
 
   /** Load: organisations with few statements, whose connections would be closed in between. */
   @Test
-  void shouldKeepTheOnlyConnectionOfAnOrganisationLongerWhenIdle() {
+  void shouldKeepConnectionsOfOrganisationsLongerWhenIdle() {
     List<Request> used = List.of(open("acme"), open("acme"), open("bolt"));
     used.forEach(Request::release);
 
     scheduler.advanceMs(3_000);
     pool.closeIdle();
+    assertEquals(SHARE, connected().size());
 
-    assertEquals(List.of("acme", "bolt"), connected());
+    scheduler.advanceMs(20_000);
+    pool.closeIdle();
+    assertEquals(0, connected().size());
   }
 
   @Test
