Refuse operations of organisations beyond their quota, and give unused tokens back

The quota is checked where this VM sends to targets: at a single statement, or at the first statement of a transaction, which fails if it is refused. A VM that forwards remembers the refusal of a holder. A refusal by quota does not count as a failure of the holder, or a VM whose callers are all over quota would count as cut off.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -52,10 +52,28 @@
     this.startedMs = dispatch.scheduler().nowMs();
   }
 
-  /** Starts the statement and the timer of its time limit. */
+  /**
+   * Returns whether this VM sends the statement to targets.
+   *
+   * @return true if so, false if it forwards the statement to another VM
+   */
+  public boolean isDirect() {
+    return selector instanceof TargetSelector.Direct;
+  }
+
+  /**
+   * Returns whether the statement was sent, so that it may have run.
+   *
+   * @return true if it was sent to at least one target or VM
+   */
+  public boolean isSent() {
+    return attempts.stream().anyMatch(StatementAttempt::isSent);
+  }
+
+  /** Starts the statement and the timer of its time limit, which counts from the creation. */
   public void start() {
-    timeoutTimer =
-        dispatch.scheduler().schedule(request.route().statementTimeoutMs(), this::onTimeout);
+    long remainingMs = startedMs + request.route().statementTimeoutMs() - now();
+    timeoutTimer = dispatch.scheduler().schedule(Math.max(0, remainingMs), this::onTimeout);
     dispatch.hedging().onStatement();
     tryNext();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -80,6 +80,24 @@
     return route;
   }
 
+  /**
+   * Returns whether this VM sends the transaction to a target.
+   *
+   * @return true if so, false if it forwards the transaction to another VM
+   */
+  public boolean isDirect() {
+    return selector instanceof TargetSelector.Direct;
+  }
+
+  /**
+   * Returns whether a target has begun the transaction.
+   *
+   * @return true if a statement of it may have been sent
+   */
+  public boolean isBegun() {
+    return begun;
+  }
+
   /**
    * Returns whether the transaction has failed, so that it can only be rolled back.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/holder/ForwardingHealth.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/holder/ForwardingHealth.java
@@ -34,7 +34,11 @@
   private static final int MIN_FAILURES = 3;
 
   private static final Set<ResultCode> STATEMENT_FAULTS =
-      Set.of(ResultCode.BAD_STATEMENT, ResultCode.UNKNOWN_PREPARED, ResultCode.STATEMENT_FAILED);
+      Set.of(
+          ResultCode.BAD_STATEMENT,
+          ResultCode.UNKNOWN_PREPARED,
+          ResultCode.STATEMENT_FAILED,
+          ResultCode.QUOTA_EXCEEDED);
 
   private static final Set<ResultCode> UNAVAILABLE_FAULTS =
       Set.of(ResultCode.NO_PRIMARY, ResultCode.NO_CONNECTION, ResultCode.TARGET_UNREACHABLE);
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -34,6 +34,7 @@
   private final String database;
   private final Credential credential;
   private final Origin origin;
+  private final OperationQuota quota;
   private final Deque<Query> queue = new ArrayDeque<>();
   private SessionState state = SessionState.empty();
   private LogPosition lastCommit = LogPosition.ORIGIN;
@@ -63,6 +64,7 @@
     this.database = database;
     this.credential = credential;
     this.origin = origin;
+    this.quota = new OperationQuota(gateway.quotas());
   }
 
   /**
@@ -119,9 +121,11 @@
     queue.clear();
     if (running != null) {
       running.cancel();
+      quota.refundUnless(running.isSent());
     }
     if (transaction != null) {
       transaction.rollBack();
+      quota.refundUnless(transaction.isBegun());
     }
   }
 
@@ -257,6 +261,7 @@
     switch (gateway.admit(this, origin, query.forwarded())) {
       case Admission.Admitted admitted -> {
         transactionOrganisation = admitted.organisation();
+        quota.startOperation();
         transaction = new Transaction(gateway.dispatch(), admitted.route(), begin.readOnly());
         answerEmpty();
       }
@@ -294,8 +299,38 @@
             lastCommit,
             query.statement(),
             preparedStatement);
-    running = new SingleStatement(gateway.dispatch(), request, new SingleCompletion(request));
-    running.start();
+    SingleStatement statement =
+        new SingleStatement(gateway.dispatch(), request, new SingleCompletion(request));
+    quota.startOperation();
+    whenAllowed(
+        admitted.organisation(),
+        statement.isDirect(),
+        () -> {
+          running = statement;
+          statement.start();
+        });
+  }
+
+  /** Starts an operation once its organisation has quota for it, or refuses it. */
+  private void whenAllowed(Optional<String> organisation, boolean direct, Runnable start) {
+    quota.admit(
+        organisation,
+        direct,
+        refusal -> {
+          if (closed) {
+            quota.refundUnless(false);
+          } else if (unauthorized) {
+            quota.refundUnless(false);
+            close();
+          } else if (refusal.isPresent()) {
+            if (transaction != null) {
+              transaction.expire();
+            }
+            refuse(refusal.get());
+          } else {
+            start.run();
+          }
+        });
   }
 
   private void runInTransaction(Query query, Optional<PreparedStatement> preparedStatement) {
@@ -308,7 +343,12 @@
             lastCommit,
             query.statement(),
             preparedStatement);
-    transaction.run(request, new TransactionCompletion(request));
+    Runnable start = () -> transaction.run(request, new TransactionCompletion(request));
+    if (quota.isCounted()) {
+      start.run();
+    } else {
+      whenAllowed(transactionOrganisation, transaction.isDirect(), start);
+    }
   }
 
   private void endTransaction() {
@@ -391,6 +431,7 @@
 
     @Override
     public void done(LinkReply reply) {
+      quota.recordOutcome(request.organisation(), Optional.empty());
       if (request.writes()) {
         updateLastCommit(reply);
       }
@@ -400,6 +441,8 @@
 
     @Override
     public void failed(Fault fault) {
+      quota.recordOutcome(request.organisation(), Optional.of(fault));
+      quota.refundUnless(running.isSent());
       refuse(fault);
     }
   }
@@ -413,6 +456,7 @@
 
     @Override
     public void done(LinkReply reply) {
+      quota.recordOutcome(request.organisation(), reply.fault());
       boolean commit = request.statement() instanceof CallerStatement.Commit;
       if (reply.state() == TransactionState.NONE) {
         transaction = null;
@@ -430,6 +474,10 @@
 
     @Override
     public void failed(Fault fault) {
+      quota.recordOutcome(request.organisation(), Optional.of(fault));
+      if (transaction != null) {
+        quota.refundUnless(transaction.isBegun());
+      }
       if (request.statement() instanceof CallerStatement.Commit) {
         transaction = null;
       }
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -5,6 +5,7 @@
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.dispatch.DispatchContext;
 import io.lycheejunction.gateway.link.CallerLink;
+import io.lycheejunction.gateway.quota.Quotas;
 import io.lycheejunction.gateway.route.RouteTable;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -25,6 +26,7 @@
   private record WaitingSession(CallerSession session, CallerLink link) {}
 
   private final DispatchContext dispatch;
+  private final Quotas quotas;
   private final Set<WaitingSession> waiting = new LinkedHashSet<>();
   private final Set<CallerSession> sessions = new HashSet<>();
   private final Set<CallerSession> forwarded = new HashSet<>();
@@ -34,12 +36,23 @@
   private boolean refusingCallers;
 
   /**
-   * Creates a gateway without sessions.
+   * Creates a gateway without sessions and without quotas.
    *
    * @param dispatch the services that run statements
    */
   public Gateway(DispatchContext dispatch) {
+    this(dispatch, Quotas.unlimited(dispatch.scheduler()));
+  }
+
+  /**
+   * Creates a gateway without sessions.
+   *
+   * @param dispatch the services that run statements
+   * @param quotas limits the operations of organisations
+   */
+  public Gateway(DispatchContext dispatch, Quotas quotas) {
     this.dispatch = Objects.requireNonNull(dispatch, "dispatch is null");
+    this.quotas = Objects.requireNonNull(quotas, "quotas is null");
   }
 
   /**
@@ -169,6 +182,7 @@
         table.organisations().names().size());
     routes = table;
     dispatch.statementLog().setConfigurationVersion(table.version());
+    quotas.apply(table.organisations());
     endUnauthorizedSessions();
     acceptWaiting();
     return true;
@@ -271,6 +285,10 @@
     return dispatch;
   }
 
+  Quotas quotas() {
+    return quotas;
+  }
+
   /**
    * Decides whether a session may run a single statement or a new transaction now.
    *
