--- a/gateway/src/main/java/io/lycheejunction/gateway/metrics/GatewayMetrics.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/metrics/GatewayMetrics.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.result.ResultCode;
 import io.micrometer.core.instrument.Counter;
+import io.micrometer.core.instrument.FunctionCounter;
 import io.micrometer.core.instrument.Gauge;
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
@@ -12,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
 import java.util.function.Supplier;
 
 /**
@@ -42,6 +44,9 @@
   private final Map<StatementKey, Counter> statements = new HashMap<>();
   private final Map<String, Timer> latencies = new HashMap<>();
 
+  /** The suppliers of counters, which a registry refers to only weakly. */
+  private final List<DoubleSupplier> counted = new ArrayList<>();
+
   /** Creates metrics without values and without a registry. */
   public GatewayMetrics() {}
 
@@ -89,6 +94,21 @@
     Gauge.builder(name, value).register(registry.get());
   }
 
+  /**
+   * Registers a counter whose value is kept elsewhere.
+   *
+   * @param name the name of the counter
+   * @param value supplies the current value, which never falls, each time the counter is read
+   */
+  public void count(String name, DoubleSupplier value) {
+    if (registry.isEmpty()) {
+      buffer(() -> count(name, value));
+      return;
+    }
+    counted.add(value);
+    FunctionCounter.builder(name, value, DoubleSupplier::getAsDouble).register(registry.get());
+  }
+
   private void buffer(Runnable action) {
     if (pending.size() < MAX_PENDING) {
       pending.add(action);
--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
@@ -1,5 +1,6 @@
 package io.lycheejunction.gateway.quota;
 
+import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.organisation.Organisation;
@@ -27,6 +28,8 @@
   /** How long an operation waits for tokens of other holders, in milliseconds. */
   static final long WAIT_MS = 80;
 
+  private static final EventLog LOG = EventLog.of(Quotas.class);
+
   private final Optional<QuotaAllowance> allowance;
   private final Scheduler scheduler;
   private final QuotaSlot slot;
@@ -121,6 +124,7 @@
     if (count > slots && slots > 0) {
       newSlotsFromMs = scheduler.nowMs() + windowMs;
     }
+    LOG.info("quota_slots", "before", slots, "after", count, "window_ms", windowMs);
     dividingSlots = Math.max(dividingSlots, count);
     slots = count;
     if (count < dividingSlots) {
@@ -181,6 +185,9 @@
    * @param nowMs the time of the gateway's clock, in milliseconds
    */
   public void onClockGap(long nowMs) {
+    if (!organisations.isEmpty()) {
+      LOG.info("quota_tokens_dropped", "now_ms", nowMs, "organisations", organisations.size());
+    }
     refill.discardAnswers();
     refusals.clear();
     organisations.values().forEach(organisation -> organisation.clear(nowMs));
@@ -196,6 +203,14 @@
       if (nowMs < newSlotsFromMs) {
         return false;
       }
+      LOG.info(
+          "quota_part_taken",
+          "slot_since_ms",
+          sinceMs.getAsLong(),
+          "slots",
+          dividingSlots,
+          "organisations",
+          organisations.size());
       heldSinceMs = sinceMs;
       organisations.values().forEach(organisation -> organisation.reset(nowMs));
     }
--- a/review/standin/Node.java
+++ b/review/standin/Node.java
@@ -58,6 +58,9 @@
     fields.put("bounds.drain-ms", "7000");
     fields.put("bounds.grace-s", "6.0");
     fields.put("bounds.fencing-enforced", Boolean.toString(fenced));
+    fields.put("bounds.quota-window-s", "");
+    fields.put("bounds.quota-overage", "");
+    fields.put("bounds.quota-slack", "");
     fields.put("port-range.0", Integer.toString(range));
     fields.put("port-range.1", Integer.toString(range + 1));
     String text = Files.readString(Path.of("deploy/settings.properties")).replace(ZONES, "a,b,c");
