Pass the retry delay of a refusal by quota on as the holder states it

A VM that forwards raised the delay to the time that a promotion takes, since it knows no primaries: callers were told to wait for seconds although there was room sooner.

Evidence: QuotaSessionTest, QuotaInterleavingTest (random failures, fixed seed).

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -246,9 +246,13 @@
     }
   }
 
+  /** A refusal by quota states its own time; the others depend on when there is a primary. */
   private Fault finalFault() {
     Fault cause =
         lastFault == null ? DispatchContext.noPrimary(request.route().service()) : lastFault;
+    if (cause.code() == ResultCode.QUOTA_EXCEEDED) {
+      return cause;
+    }
     long retryAfterMs =
         Math.max(
             dispatch.gate().expectedWaitMs(request.route().service()),
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
@@ -1,13 +1,18 @@
 package io.lycheejunction.gateway.session;
 
+import static io.lycheejunction.core.result.ResultCode.QUOTA_EXCEEDED;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.gateway.dispatch.DispatchFixture;
+import io.lycheejunction.gateway.holder.Holder;
+import io.lycheejunction.gateway.holder.HolderTargets;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TransactionState;
 import io.lycheejunction.gateway.organisation.Organisation;
 import io.lycheejunction.gateway.organisation.Organisations;
@@ -17,6 +22,7 @@
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.route.RouteTable;
+import io.lycheejunction.gateway.target.Endpoint;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -30,6 +36,15 @@
 
   private static final Quota QUOTA = new Quota(0.2, 1);
 
+  private static final long RETRY_MS = 60;
+  private static final LinkReply REFUSAL =
+      new LinkReply(
+          List.of(),
+          Optional.empty(),
+          Optional.of(new Fault(QUOTA_EXCEEDED, "used up", RETRY_MS)),
+          TransactionState.NONE,
+          Optional.empty());
+
   private final DispatchFixture fixture = new DispatchFixture();
   private final Quotas quotas =
       new Quotas(
@@ -135,4 +150,32 @@
     }
     assertEquals(3, started);
   }
+
+  /** Another holder would refuse as well, and each statement would cost a message. */
+  @Test
+  void shouldPassTheRefusalOfAHolderOnAndRememberItWhenThisVmForwards() {
+    Endpoint endpoint = new Endpoint("10.0.0.9", 7_441);
+    HolderTargets.update(
+        fixture.holders,
+        List.of(
+            new Holder("vm-1", "domain-i-2", endpoint, endpoint),
+            new Holder("vm-2", "domain-i-1", endpoint, endpoint)),
+        gateway.routes());
+    fixture.role.forward();
+    write();
+    fixture.links.last("vm-1/ledger").greet().answer(REFUSAL);
+    assertEquals("QUOTA_EXCEEDED NONE", caller.lastReply());
+
+    write();
+    assertEquals("QUOTA_EXCEEDED NONE", caller.lastReply());
+    assertTrue(fixture.links.last("vm-1/ledger").unanswered().isEmpty());
+    assertTrue(fixture.links.to("vm-2/ledger").isEmpty());
+
+    fixture.scheduler.advanceMs(RETRY_MS);
+    write();
+    fixture.links.last("vm-1/ledger").done(TransactionState.NONE, 1, 5);
+    assertEquals("done NONE", caller.lastReply());
+    assertEquals(1, quotas.counts().refusedByCache());
+    assertEquals(0, quotas.counts().allowed());
+  }
 }
