Add ./bench quota: quotas over 6 to 300 VMs on a virtual clock

It prints the share of the allowed operations that ran, the worst window and the messages about tokens, and fails below 98% or above the allowance.

--- a/benches/src/main/java/io/lycheejunction/bench/BenchMain.java
+++ b/benches/src/main/java/io/lycheejunction/bench/BenchMain.java
@@ -9,6 +9,7 @@
 import io.lycheejunction.bench.failover.SuspicionBench;
 import io.lycheejunction.bench.overhead.OverheadBench;
 import io.lycheejunction.bench.overload.OverloadBench;
+import io.lycheejunction.bench.quota.QuotaBench;
 import io.lycheejunction.bench.slopes.SlopesBench;
 import io.lycheejunction.common.clock.SystemRuntimeClock;
 import io.lycheejunction.common.http.BlockingHttpClient;
@@ -33,6 +34,7 @@
           new FalsePromotionsBench(),
           new SuspicionBench(),
           new OverloadBench(HTTP, new SystemRuntimeClock()),
+          new QuotaBench(),
           new SlopesBench(HTTP, new SystemRuntimeClock()));
   private static final Program PROGRAM =
       new Program("lycheejunction-bench", "[flags] " + names("|"), BenchSettings.ALL);
