--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
@@ -89,6 +89,16 @@
         .orElse(direct);
   }
 
+  /**
+   * Returns whether a statement that starts now is sent to targets by this VM.
+   *
+   * @param request the statement
+   * @return true if so, false if it is forwarded to another VM
+   */
+  public boolean isDirect(StatementRequest request) {
+    return selector(request) instanceof TargetSelector.Direct;
+  }
+
   private TargetSelector selector() {
     return role.isForwarding() ? forwarding : direct;
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -55,10 +55,19 @@
     this.startedMs = dispatch.scheduler().nowMs();
   }
 
-  /** Starts the statement and the timer of its time limit. */
+  /**
+   * Returns whether the statement was sent, so that it may have run.
+   *
+   * @return true if it was sent to at least one target or VM
+   */
+  public boolean isSent() {
+    return attempts.stream().anyMatch(StatementAttempt::isSent);
+  }
+
+  /** Starts the statement and the timer of its time limit, which counts from the creation. */
   public void start() {
-    timeoutTimer =
-        dispatch.scheduler().schedule(request.route().statementTimeoutMs(), this::onTimeout);
+    long remainingMs = startedMs + request.route().statementTimeoutMs() - now();
+    timeoutTimer = dispatch.scheduler().schedule(Math.max(0, remainingMs), this::onTimeout);
     dispatch.hedging().onStatement();
     tryNext();
   }
@@ -246,9 +255,13 @@
     }
   }
 
+  /** A refusal by quota states its own time; the others depend on when there is a primary. */
   private Fault finalFault() {
     Fault cause =
         lastFault == null ? DispatchContext.noPrimary(request.route().service()) : lastFault;
+    if (cause.code() == ResultCode.QUOTA_EXCEEDED) {
+      return cause;
+    }
     long retryAfterMs =
         Math.max(
             dispatch.gate().expectedWaitMs(request.route().service()),
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -79,6 +79,15 @@
     return route;
   }
 
+  /**
+   * Returns whether a target has begun the transaction.
+   *
+   * @return true if a statement of it may have been sent
+   */
+  public boolean isBegun() {
+    return begun;
+  }
+
   /**
    * Returns whether the transaction has failed, so that it can only be rolled back.
    *
