Give each holder that starts at least one token with six slots

An organisation within its quota was refused right after a start, since six holders began with half a token each.

--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaAllowance.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaAllowance.java
@@ -9,14 +9,14 @@
  * {@code (rate * w + burst) * (1 + overage) + slack}. With n slots they are the sum of:
  *
  * <ul>
- *   <li>the tokens in all buckets when the window begins, at most {@code burst + 0.5 * slack}:
+ *   <li>the tokens in all buckets when the window begins, at most {@code burst + 0.35 * slack}:
  *       tokens that are moved between buckets never raise a bucket above its capacity;
  *   <li>the tokens that the buckets gain in the window, {@code rate * w};
- *   <li>the first tokens of VMs that take a slot in the window, {@code 0.15 * slack} if each slot
+ *   <li>the first tokens of VMs that take a slot in the window, {@code 0.35 * slack} if each slot
  *       is taken once;
  *   <li>the tokens that are on their way between VMs when the window begins, or above the capacity
  *       of the receiver. They were given less than 500 ms before, so that they are at most n times
- *       the limit on gifts: {@code overage * (rate * w + burst) + 0.35 * slack}.
+ *       the limit on gifts: {@code overage * (rate * w + burst) + 0.3 * slack}.
  * </ul>
  *
  * @param windowMs the length of the window, in milliseconds
@@ -24,9 +24,9 @@
  * @param slack the operations by which they may be exceeded in addition
  */
 public record QuotaAllowance(long windowMs, double overage, double slack) {
-  private static final double CAPACITY_PART = 0.5;
-  private static final double FIRST_TOKENS_PART = 0.15;
-  private static final double GIFTS_PART = 0.35;
+  private static final double CAPACITY_PART = 0.35;
+  private static final double FIRST_TOKENS_PART = 0.35;
+  private static final double GIFTS_PART = 0.3;
   private static final double MS_PER_S = 1_000;
 
   /** Rejects values outside their range; the message names the component, the value and rule. */
