--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/OrganisationQuota.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/OrganisationQuota.java
@@ -75,6 +75,7 @@
     this.demand = new DemandMeter(nowMs);
     this.allowed = new DemandMeter(nowMs);
     this.promisedMs = nowMs;
+    lender.block(nowMs);
     this.bucket =
         new TokenBucket(
             quota.ratePerS() / slots,
