--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaRefill.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaRefill.java
@@ -162,8 +162,8 @@
     if (peer.pending.isEmpty() || peer.inFlight) {
       return;
     }
-    long sentMs = scheduler.nowMs();
-    long sentIn = generation;
+    final long sentMs = scheduler.nowMs();
+    final long sentIn = generation;
     Map<String, Double> want = Map.copyOf(peer.pending);
     peer.pending.clear();
     peer.requested.addAll(want.keySet());
--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
@@ -149,14 +149,14 @@
     for (String name : configured.names()) {
       Optional<Quota> quota = configured.find(name).flatMap(Organisation::quota);
       if (quota.isPresent()) {
-        apply(name, quota.get(), nowMs);
+        applyQuota(name, quota.get(), nowMs);
       } else {
         Optional.ofNullable(organisations.remove(name)).ifPresent(this::allowAll);
       }
     }
   }
 
-  private void apply(String name, Quota quota, long nowMs) {
+  private void applyQuota(String name, Quota quota, long nowMs) {
     OrganisationQuota known = organisations.get(name);
     if (known == null) {
       organisations.put(
--- a/gateway/src/test/java/io/lycheejunction/gateway/quota/QuotaFaultTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/quota/QuotaFaultTest.java
@@ -71,7 +71,7 @@
   }
 
   @Test
-  void shouldStayWithinTheAllowanceWhenAHolderFreezesAndGoesOn() {
+  void shouldStayWithinTheAllowanceWhenOneHolderFreezesAndGoesOn() {
     run(10_000);
     fleet.vms.get(0).freeze();
     run(7_000);
@@ -82,7 +82,7 @@
   }
 
   @Test
-  void shouldSpendOnlyTheOwnPartsWhenADomainIsCutOff() {
+  void shouldSpendOnlyTheOwnPartsWhenOneDomainIsCutOff() {
     run(5_000);
     for (int i = 0; i < 2; i++) {
       for (int j = 2; j < HOLDERS; j++) {
@@ -98,7 +98,7 @@
   }
 
   @Test
-  void shouldApplyALowerLimitOneWindowLaterAndAHigherOneAtOnce() {
+  void shouldApplyLowerLimitsOneWindowLaterAndHigherOnesAtOnce() {
     run(10_000);
     Quota lower = new Quota(4, 6);
     fleet.change(lower);
@@ -156,7 +156,7 @@
   }
 
   @Test
-  void shouldGiveNoPartToANewSlotUntilAllKnowThatTheNumberOfSlotsHasRisen() {
+  void shouldGiveNoPartToNewSlotsUntilAllKnowThatTheNumberOfSlotsHasRisen() {
     fleet.run(5_000, 0, 1);
     QuotaFleet.Vm joins = fleet.vms.get(0);
     joins.heldSinceMs = OptionalLong.empty();
--- a/gateway/src/test/java/io/lycheejunction/gateway/quota/QuotaTransferTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/quota/QuotaTransferTest.java
@@ -62,7 +62,7 @@
 
   @Test
   void shouldRefuseTheWaitingOperationAndIgnoreTokensWhenTheyArriveLate() {
-    Consumer<Optional<Map<String, Double>>> answer = requestForToken();
+    final Consumer<Optional<Map<String, Double>>> answer = requestForToken();
     scheduler.advanceMs(Quotas.WAIT_MS);
     assertEquals(1, refused);
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/quota/RefusalCacheTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/quota/RefusalCacheTest.java
@@ -48,7 +48,7 @@
   }
 
   @Test
-  void shouldBoundTheTimeWhenAHolderStatesAVeryLongOne() {
+  void shouldBoundTheTimeWhenTheHolderStatesOneThatIsVeryLong() {
     cache.recordRefusal("acme", Long.MAX_VALUE, 1_000);
 
     assertEquals(RefusalCache.MAX_MS, cache.refusedForMs("acme", 1_000));
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
@@ -100,7 +100,7 @@
   }
 
   @Test
-  void shouldCountATransactionOnceAndFailItWhenItsFirstStatementIsRefused() {
+  void shouldCountEachTransactionOnceAndFailItWhenItsFirstStatementIsRefused() {
     for (int i = 0; i < 3; i++) {
       session.query("b", new CallerStatement.Begin(false));
       write();
@@ -135,7 +135,7 @@
   }
 
   @Test
-  void shouldKeepTheTokensOfEarlierStatementsWhenACallerDisconnectsInAnEmptyTransaction() {
+  void shouldKeepTheTokensOfEarlierStatementsWhenTheCallerLeavesAnEmptyTransaction() {
     write();
     link().greet().done(TransactionState.NONE, 1, 5);
     session.query("b", new CallerStatement.Begin(false));
@@ -153,7 +153,7 @@
 
   /** Another holder would refuse as well, and each statement would cost a message. */
   @Test
-  void shouldPassTheRefusalOfAHolderOnAndRememberItWhenThisVmForwards() {
+  void shouldPassTheRefusalOfTheHolderOnAndRememberItWhenThisVmForwards() {
     Endpoint endpoint = new Endpoint("10.0.0.9", 7_441);
     HolderTargets.update(
         fixture.holders,
