Ask a holder again soon that has given tokens just before

A holder that had reached its limit on gifts was asked again only after up to 750 ms, so that its bucket filled up and tokens were lost when all demand was at one holder.

Evidence: QuotaDemandTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaRefill.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaRefill.java
@@ -48,6 +48,10 @@
     private final Map<String, Double> pending = new LinkedHashMap<>();
     private final Set<String> requested = new HashSet<>();
     private final Map<String, Backoff> backoffs = new HashMap<>();
+
+    /** When the holder last gave tokens, in milliseconds, by organisation. */
+    private final Map<String, Long> givenMs = new HashMap<>();
+
     private long nextSendMs = Long.MIN_VALUE;
     private long silentUntilMs = Long.MIN_VALUE;
     private boolean inFlight;
@@ -67,6 +71,12 @@
           && pending.size() < MAX_ORGANISATIONS;
     }
 
+    /** One that has given tokens may have more, once its limit on gifts allows it again. */
+    private boolean hasGivenRecently(String organisation, long nowMs) {
+      Long lastMs = givenMs.get(organisation);
+      return lastMs != null && nowMs - lastMs <= TokenLender.PERIOD_MS;
+    }
+
     private boolean canSend(long nowMs) {
       return !inFlight && nowMs >= nextSendMs;
     }
@@ -215,13 +225,16 @@
 
   private static void recordAnswer(
       Peer peer, OrganisationQuota organisation, double want, double tokens, long nowMs) {
+    if (tokens > 0) {
+      peer.givenMs.put(organisation.name(), nowMs);
+    }
     if (tokens >= want - OrganisationQuota.EPSILON) {
       peer.backoffs.remove(organisation.name());
       return;
     }
     long delayMs = Math.clamp(organisation.halfTokenMs(), MIN_BACKOFF_MS, MAX_BACKOFF_MS);
     Backoff last = peer.backoffs.get(organisation.name());
-    if (tokens <= 0 && last != null) {
+    if (last != null && !peer.hasGivenRecently(organisation.name(), nowMs)) {
       delayMs = Math.min(2 * last.delayMs(), MAX_BACKOFF_MS);
     }
     peer.backoffs.put(organisation.name(), new Backoff(nowMs + delayMs, delayMs));
