--- a/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
@@ -32,7 +32,7 @@
 /** Guards against operations that are counted twice or not at all, and against lost tokens. */
 class QuotaSessionTest {
   /** The first tokens of the only slot are 3; another one comes after 5 seconds. */
-  private static final QuotaAllowance ALLOWANCE = new QuotaAllowance(5_000, 0.1, 20);
+  private static final QuotaAllowance ALLOWANCE = new QuotaAllowance(5_000, 0.1, 9);
 
   private static final Quota QUOTA = new Quota(0.2, 1);
 
@@ -100,7 +100,7 @@
   }
 
   @Test
-  void shouldCountATransactionOnceAndFailItWhenItsFirstStatementIsRefused() {
+  void shouldCountEachTransactionOnceAndFailItWhenItsFirstStatementIsRefused() {
     for (int i = 0; i < 3; i++) {
       session.query("b", new CallerStatement.Begin(false));
       write();
@@ -135,7 +135,7 @@
   }
 
   @Test
-  void shouldKeepTheTokensOfEarlierStatementsWhenACallerDisconnectsInAnEmptyTransaction() {
+  void shouldKeepTheTokensOfEarlierStatementsWhenTheCallerLeavesAnEmptyTransaction() {
     write();
     link().greet().done(TransactionState.NONE, 1, 5);
     session.query("b", new CallerStatement.Begin(false));
@@ -153,7 +153,7 @@
 
   /** Another holder would refuse as well, and each statement would cost a message. */
   @Test
-  void shouldPassTheRefusalOfAHolderOnAndRememberItWhenThisVmForwards() {
+  void shouldPassTheRefusalOfTheHolderOnAndRememberItWhenThisVmForwards() {
     Endpoint endpoint = new Endpoint("10.0.0.9", 7_441);
     HolderTargets.update(
         fixture.holders,
