Replace a primary by one VM at a time where there are many holders

With 12 holders each started a replacement of the same failed primary and asked the 11 others for votes and releases; answers took longer than 200 ms, no round found a quorum, and nothing was written. Where there are more than six holders, VMs now start in an order by rendezvous hashing of those that report the primary gone, and hold back for up to 800 ms while they have released it to another VM. A round asks the voters first, takes the first majority of the seats, and asks the other holders then; at least as many refusals as releases still end it before the order. Refusals are asked again at growing intervals, and failed replacements are repeated at growing intervals. Up to six holders start as before, and take turns after two failed attempts.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -46,6 +46,7 @@
   private long lastOrderMs;
   private int orders;
   private boolean ended;
+  private long endedMs;
   private LogPosition requiredPosition = LogPosition.ORIGIN;
 
   FailoverRun(
@@ -80,6 +81,16 @@
     return ended;
   }
 
+  /** Returns when the run was started, in milliseconds. */
+  long startedMs() {
+    return startMs;
+  }
+
+  /** Returns when the run ended, in milliseconds. */
+  long endedMs() {
+    return endedMs;
+  }
+
   /** Returns whether the run has ended since too few VMs have released the primary. */
   boolean isReleaseDenied() {
     return release.isDenied();
@@ -96,7 +107,16 @@
   }
 
   private void acquireLease(Runnable next) {
-    lease.acquire(next, cause -> end("no lease: " + cause));
+    lease.acquire(() -> onLeaseAcquired(next), cause -> end("no lease: " + cause));
+  }
+
+  /** Too many VMs may have refused the release while the lease was written. */
+  private void onLeaseAcquired(Runnable next) {
+    if (ended && release.isDenied()) {
+      release.withdraw(true);
+    } else {
+      next.run();
+    }
   }
 
   /** Treats what the run has acquired as expired, since the clock may have missed time. */
@@ -349,6 +369,7 @@
   private void end(String outcome) {
     if (!ended) {
       ended = true;
+      endedMs = now();
       release.cancel();
       replication.resume();
       LOG.info(
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryRelease.java
@@ -5,8 +5,10 @@
 import io.lycheejunction.gateway.lease.LeaseRenewal;
 import io.lycheejunction.gateway.lease.PrimaryLeases;
 import io.lycheejunction.gateway.lease.ReleaseReply;
+import java.util.HashSet;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 
 /**
@@ -34,6 +36,7 @@
   private final Supplier<ReleaseReply> ownRelease;
   private Optional<ReleaseRound> round = Optional.empty();
   private Optional<Wait> wait = Optional.empty();
+  private final Set<String> asked = new HashSet<>();
   private long requestedMs;
   private boolean released;
   private boolean needed;
@@ -80,7 +83,8 @@
    * Asks all VMs to release the primary, if that is needed.
    *
    * @param onReleased runs once a quorum has released it, or if that is not needed
-   * @param onDenied runs if too few VMs have released it
+   * @param onDenied runs if too few VMs have released it, also after {@code onReleased}, if at
+   *     least as many VMs have refused before the primary counts as unused
    */
   void request(Runnable onReleased, Runnable onDenied) {
     if (!needed) {
@@ -130,12 +134,17 @@
       failover.scheduler().schedule(waitMs, this::continueIfUnused);
       return;
     }
+    if (round.get().isRefused()) {
+      round.get().deny();
+      return;
+    }
     cancel();
     waiting.next().run();
   }
 
   private long unusedFromMs(ReleaseRound released, long failoverLeaseMs) {
-    long unusedFromMs = Math.max(released.unusedFromMs(), requestedMs + OBJECTION_WAIT_MS);
+    long unusedFromMs =
+        Math.max(released.unusedFromMs(), released.allAskedMs() + OBJECTION_WAIT_MS);
     if (released.isReleasedByAll() && knowsAllHolders(released, failoverLeaseMs)) {
       return unusedFromMs;
     }
@@ -165,11 +174,8 @@
       return;
     }
     leases.grants().resume(service, failover.vm());
-    for (String vm : failover.store().liveVms().keySet()) {
-      if (!vm.equals(failover.vm())) {
-        leases.client().resume(vm, service);
-      }
-    }
+    asked.forEach(vm -> leases.client().resume(vm, service));
+    asked.clear();
     if (leaseAcquired) {
       failover
           .store()
@@ -190,6 +196,11 @@
       this.onDenied = onDenied;
     }
 
+    @Override
+    public void onAsked(String vm) {
+      asked.add(vm);
+    }
+
     @Override
     public void onQuorum() {
       released = true;
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -1,6 +1,8 @@
 package io.lycheejunction.gateway.failover;
 
 import io.lycheejunction.core.failover.PreVote;
+import io.lycheejunction.core.failover.ReplacementOrder;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -45,18 +47,70 @@
     List<Vote> votes = votesOn(primary);
     Set<String> notVoted = new HashSet<>(vms.keySet());
     votes.forEach(vote -> notVoted.remove(vote.vm()));
-    if (mayBeGranted(vms, primary, votes)) {
-      peerVotes.ask(primary, notVoted);
-    }
-    boolean registered = failover.targets().find(primary).isPresent();
+    boolean registered = isRegistered(primary);
     PreVote.Outcome outcome = FailureQuorum.decide(vms, primary, votes, registered);
     boolean askedLater = registered && failover.leases().use().needsLease();
+    if (mayBeGranted(vms, primary, votes) && mayAsk(vms, outcome, askedLater)) {
+      peerVotes.ask(primary, notVoted);
+    }
     if (outcome == PreVote.Outcome.GRANTED && !askedLater && !peerVotes.haveReplied(notVoted)) {
       return PreVote.Outcome.OPEN;
     }
     return outcome;
   }
 
+  /**
+   * Returns whether this VM may ask others for their votes now. Where there are many holders they
+   * ask in turns, once the votes have had time to arrive through the store.
+   */
+  private boolean mayAsk(Map<String, String> vms, PreVote.Outcome outcome, boolean askedLater) {
+    if (ReplacementTurn.isFew(vms.size())) {
+      return true;
+    }
+    boolean granted = outcome == PreVote.Outcome.GRANTED;
+    if (granted && askedLater) {
+      return false;
+    }
+    long questionAgeMs = failover.scheduler().nowMs() - inQuestionSinceMs;
+    long waitedMs = granted ? questionAgeMs : questionAgeMs - OWN_VOTE_WAIT_MS;
+    long turn = waitedMs / ReplacementTurn.STEP_MS % vms.size();
+    return waitedMs >= 0 && turn == ReplacementOrder.positionOf(failover.vm(), service, vms);
+  }
+
+  /**
+   * Returns the position of this VM among those that may replace a primary, which are those that
+   * have reported it gone. If the votes in the store are not enough, this VM knows more from
+   * answers to its own requests, and does not wait for others.
+   *
+   * @param primary the identifier of the primary
+   * @return the position, 0 for the VM that starts first
+   */
+  int startPosition(String primary) {
+    Map<String, String> vms = new HashMap<>(failover.store().liveVms());
+    vms.put(failover.vm(), failover.failureDomain());
+    Map<String, String> reportingGone = new HashMap<>();
+    reportingGone.put(failover.vm(), failover.failureDomain());
+    List<Vote> stored = new ArrayList<>();
+    for (Vote vote : failover.store().votes(service)) {
+      if (vote.primary().equals(primary) && !vote.vm().equals(failover.vm())) {
+        stored.add(vote);
+        vms.put(vote.vm(), vote.failureDomain());
+        if (vote.gone()) {
+          reportingGone.put(vote.vm(), vote.failureDomain());
+        }
+      }
+    }
+    stored.add(new Vote(failover.vm(), failover.failureDomain(), primary, true));
+    boolean enough =
+        FailureQuorum.decide(vms, primary, stored, isRegistered(primary))
+            == PreVote.Outcome.GRANTED;
+    return enough ? ReplacementOrder.positionOf(failover.vm(), service, reportingGone) : 0;
+  }
+
+  private boolean isRegistered(String primary) {
+    return failover.targets().find(primary).isPresent();
+  }
+
   private void recordDecision(String primary) {
     long nowMs = failover.scheduler().nowMs();
     if (!primary.equals(primaryInQuestion) || nowMs - lastDecisionMs > NEW_OUTAGE_AFTER_MS) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -146,6 +146,7 @@
   @Override
   public void resume(String service, String requester) {
     failover.leases().grants().resume(service, requester);
+    Optional.ofNullable(watches.get(service)).ifPresent(watch -> watch.onWithdrawn(requester));
   }
 
   private void onPrimaryFound() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ReleaseRound.java
@@ -12,16 +12,23 @@
 import java.util.Set;
 
 /**
- * Asks all holders to release a primary before it is replaced, and determines when no VM holds a
+ * Asks the holders to release a primary before it is replaced, and determines when no VM holds a
  * lease on it any more.
  *
  * <p>A VM holds a lease only if enough VMs have granted it that the others cannot satisfy the
  * quorum. So once a quorum has released the primary, each VM that may still hold a lease has been
  * granted one by a member of the quorum, which reports how long it remains valid.
  *
- * <p>The round ends with the quorum, without waiting for VMs that do not answer. Later replies
- * still count, since the wait ends early if all VMs have released the primary. A VM that refuses is
- * asked again, as it may not have noticed yet that the primary does not answer.
+ * <p>The quorum is the first majority of the seats, whose VMs are the voters; where there are few
+ * holders, all are asked at once, and more than half of them have to release the primary besides.
+ * Later replies still count: the wait for leases ends early if all holders have released the
+ * primary, and the release is denied if at least as many have refused it once all have answered.
+ * Where there are many holders, those without a seat are asked only after the quorum, so that a
+ * round without a quorum costs no more messages than there are voters.
+ *
+ * <p>A VM that refuses is asked again, as it may not have noticed yet that the primary does not
+ * answer. Where there are many holders, the interval doubles, and voters that do not answer are
+ * asked again too, since a message may be lost.
  */
 final class ReleaseRound {
   /** The interval between two requests to a VM that refuses, in milliseconds. */
@@ -47,10 +54,16 @@
   /** Receives the progress of the round. */
   interface Listener {
 
+    /** Called before a VM is asked. */
+    void onAsked(String vm);
+
     /** Called once: a quorum has released the primary. */
     void onQuorum();
 
-    /** Called once instead: too few VMs have released the primary. */
+    /**
+     * Called at most once: too few VMs have released the primary. After the quorum, this means that
+     * at least as many have refused.
+     */
     void onDenied();
 
     /** Called after the quorum, for each later reply of a VM. */
@@ -68,6 +81,9 @@
   private final Map<String, ReleaseReply> replies = new HashMap<>();
   private final Map<String, Long> leasedUntilMs = new HashMap<>();
   private final Set<String> inFlight = new HashSet<>();
+  private final Map<String, Integer> requests = new HashMap<>();
+  private final boolean few;
+  private long allAskedMs;
   private boolean decided;
   private boolean cancelled;
 
@@ -88,29 +104,47 @@
     this.holders = new HashSet<>(failover.store().liveVms().keySet());
     this.holders.addAll(voters.groupByVm().keySet());
     this.holders.add(failover.vm());
+    this.few = ReplacementTurn.isFew(holders.size());
     this.startedMs = failover.scheduler().nowMs();
+    this.allAskedMs = startedMs;
     this.holdersAsOfMs = startedMs - failover.leases().voters().ageMs();
   }
 
   /**
-   * Asks all holders.
+   * Asks the voters, and all other holders too if there are few.
    *
    * @param own this VM's reply
    */
   void start(ReleaseReply own) {
-    Set<String> others = new HashSet<>(holders);
-    others.remove(failover.vm());
-    inFlight.addAll(others);
     record(own);
-    others.forEach(this::request);
+    ask(few ? holders : voters.groupByVm().keySet());
     decideIfPossible();
   }
 
+  /** Asks those of some VMs that have not been asked yet. */
+  private void ask(Set<String> vms) {
+    Set<String> unasked = new HashSet<>(vms);
+    unasked.remove(failover.vm());
+    unasked.removeAll(requests.keySet());
+    if (unasked.isEmpty()) {
+      return;
+    }
+    allAskedMs = failover.scheduler().nowMs();
+    inFlight.addAll(unasked);
+    unasked.forEach(vm -> requests.put(vm, 0));
+    unasked.forEach(this::request);
+  }
+
   /** Asks no VM any more. */
   void cancel() {
     cancelled = true;
   }
 
+  /** Returns when the last VM was asked for the first time, in milliseconds. */
+  long allAskedMs() {
+    return allAskedMs;
+  }
+
   /** Returns the time from which no VM holds a granted lease, in milliseconds. */
   long unusedFromMs() {
     long unusedFromMs = startedMs;
@@ -133,19 +167,31 @@
   }
 
   private void request(String vm) {
+    requests.merge(vm, 1, Integer::sum);
+    listener.onAsked(vm);
     failover.leases().client().release(vm, service, primary, answer -> onAnswer(vm, answer));
   }
 
   private void onAnswer(String vm, PeerAnswer<ReleaseReply> answer) {
-    inFlight.remove(vm);
-    if (cancelled) {
+    boolean expected = inFlight.remove(vm);
+    if (cancelled || !expected) {
       return;
     }
-    if (answer instanceof PeerAnswer.Replied<ReleaseReply> replied) {
-      record(replied.value());
-      retryIfRefused(vm);
+    switch (answer) {
+      case PeerAnswer.Replied<ReleaseReply> replied -> {
+        record(replied.value());
+        retryUnlessReleased(vm);
+      }
+      case PeerAnswer.Silent<ReleaseReply> silent -> {
+        if (!few && !decided) {
+          retryUnlessReleased(vm);
+        }
+      }
+      case PeerAnswer.Absent<ReleaseReply> absent -> {}
     }
-    if (decided) {
+    if (decided && isOver() && isRefused()) {
+      deny();
+    } else if (decided) {
       listener.onLaterReply();
     } else {
       decideIfPossible();
@@ -158,13 +204,14 @@
     reply.remainingMs().forEach((vm, ms) -> leasedUntilMs.merge(vm, nowMs + ms, Math::max));
   }
 
-  private void retryIfRefused(String vm) {
-    long nextMs = failover.scheduler().nowMs() + RETRY_INTERVAL_MS;
+  private void retryUnlessReleased(String vm) {
+    long delayMs = few ? RETRY_INTERVAL_MS : RETRY_INTERVAL_MS << (requests.get(vm) - 1);
+    long nextMs = failover.scheduler().nowMs() + delayMs;
     if (hasReleased(vm) || nextMs - startedMs > MAX_RETRY_MS) {
       return;
     }
     inFlight.add(vm);
-    failover.scheduler().schedule(RETRY_INTERVAL_MS, () -> retry(vm));
+    failover.scheduler().schedule(delayMs, () -> retry(vm));
   }
 
   private void retry(String vm) {
@@ -177,17 +224,33 @@
     if (decided || cancelled) {
       return;
     }
-    int released = (int) holders.stream().filter(this::hasReleased).count();
-    boolean certain = 2 * released > holders.size();
-    if (isQuorum() && (certain || isOver())) {
-      decide(released, released > refusals());
+    boolean enough = !few || 2 * released() > holders.size() || isOver();
+    if (isQuorum() && !isRefused() && enough) {
+      logDecision(true);
+      decided = true;
+      ask(holders);
+      if (!cancelled) {
+        listener.onQuorum();
+      }
     } else if (isOver()) {
-      decide(released, false);
+      deny();
     }
   }
 
-  private void decide(int released, boolean granted) {
+  /** Returns whether at least as many VMs have refused the release as have released the primary. */
+  boolean isRefused() {
+    return released() <= refusals();
+  }
+
+  /** Ends the round without a release. */
+  void deny() {
+    logDecision(false);
     decided = true;
+    cancelled = true;
+    listener.onDenied();
+  }
+
+  private void logDecision(boolean granted) {
     LOG.info(
         "primary_released",
         "service",
@@ -197,19 +260,13 @@
         "vms",
         holders.size(),
         "released",
-        released,
+        released(),
         "refused",
         refusals(),
         "granted",
         granted,
         "took_ms",
         failover.scheduler().nowMs() - startedMs);
-    if (granted) {
-      listener.onQuorum();
-    } else {
-      cancelled = true;
-      listener.onDenied();
-    }
   }
 
   /** Returns whether all VMs have answered or timed out, and have had time to change their mind. */
@@ -232,6 +289,10 @@
     return voters.decides(agreeing);
   }
 
+  private long released() {
+    return replies.values().stream().filter(ReleaseReply::released).count();
+  }
+
   private long refusals() {
     return replies.values().stream().filter(reply -> !reply.released()).count();
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -34,9 +34,6 @@
 
   private static final long MAX_ANSWER_AGE_MS = 250;
 
-  /** How long after a denied release of the primary its replacement is tried again. */
-  private static final long RELEASE_RETRY_DELAY_MS = 400;
-
   /** How long statements may wait for the lease on a primary that was just found. */
   private static final long FIRST_LEASE_MS = 400;
 
@@ -50,6 +47,8 @@
   private final PrimaryVotes votes;
   private final PrimaryProbe probe;
   private final PrimaryInquiry inquiry;
+  private final ReplacementTurn turn;
+  private final RunBackoff backoff = new RunBackoff();
   private Optional<String> lastPrimary = Optional.empty();
   private Optional<Boolean> lastVote = Optional.empty();
   private long lastVoteMs;
@@ -57,7 +56,7 @@
   private boolean awaitingFirstLease;
   private long earliestStartMs = Long.MIN_VALUE;
   private FailoverRun run;
-  private long lastRunMs;
+  private boolean checkScheduled;
 
   ServiceWatch(FailoverContext failover, String service, Runnable onPrimaryFound) {
     this.failover = failover;
@@ -66,6 +65,7 @@
     this.votes = new PrimaryVotes(failover, service);
     this.probe = new PrimaryProbe(failover, service);
     this.inquiry = new PrimaryInquiry(failover, service, this::check);
+    this.turn = new ReplacementTurn(service);
     this.jitterMs = Math.floorMod((failover.vm() + '/' + service).hashCode(), LEAVING_JITTER_MS);
   }
 
@@ -96,7 +96,7 @@
       return true;
     }
     inquiry.onPrimaryReached();
-    earliestStartMs = Long.MIN_VALUE;
+    onReplacementNotNeeded();
     return handle.isSuspected(now());
   }
 
@@ -154,19 +154,29 @@
    * @param requester the name of the VM that is about to replace it
    */
   ReleaseReply release(String primary, String requester) {
-    Optional<TargetHandle> known = failover.targets().primaryOf(service);
-    if (known.isPresent() && !known.get().isGone(now())) {
-      if (now() - known.get().lastAnswerMs() > MAX_ANSWER_AGE_MS) {
-        probe.probe(known.get());
+    Optional<TargetHandle> knownPrimary = failover.targets().primaryOf(service);
+    if (knownPrimary.isPresent() && !knownPrimary.get().isGone(now())) {
+      if (now() - knownPrimary.get().lastAnswerMs() > MAX_ANSWER_AGE_MS) {
+        probe.probe(knownPrimary.get());
       }
       return ReleaseReply.refused(failover.vm());
     }
     LeaseContext leases = failover.leases();
     leases.release(service, primary, requester, successorsOf(primary), now());
+    String known =
+        knownPrimary.map(handle -> handle.target().id()).or(() -> lastPrimary).orElse("");
+    if (known.equals(primary) && !requester.equals(failover.vm())) {
+      turn.onReleased(requester, now());
+    }
     return new ReleaseReply(
         failover.vm(), true, knowsAllGrants(), leases.grants().remainingMs(service, now()));
   }
 
+  /** Records that another VM does not replace the primary that this VM has released to it. */
+  void onWithdrawn(String requester) {
+    turn.onWithdrawn(requester);
+  }
+
   void onClockGap(long nowMs) {
     if (run != null) {
       run.onClockGap(nowMs);
@@ -230,7 +240,7 @@
       LOG.info("primary_found", "service", service, "target", id.get());
       lastPrimary = id;
       lastVote = Optional.empty();
-      earliestStartMs = Long.MIN_VALUE;
+      onReplacementNotNeeded();
       primaryFoundMs = now();
       awaitingFirstLease = true;
       inquiry.onPrimaryFound(primary.get());
@@ -297,6 +307,28 @@
       startAfter(delayMs, "gone", handle, false);
     } else {
       earliestStartMs = Long.MIN_VALUE;
+      turn.onNotGranted();
+    }
+  }
+
+  private void onReplacementNotNeeded() {
+    earliestStartMs = Long.MIN_VALUE;
+    turn.clear();
+    backoff.reset();
+  }
+
+  /** Checks the primary when it may be this VM's turn, outside the regular interval. */
+  private void checkAfter(long delayMs) {
+    if (!checkScheduled) {
+      checkScheduled = true;
+      failover.scheduler().schedule(delayMs, this::checkAsScheduled);
+    }
+  }
+
+  private void checkAsScheduled() {
+    checkScheduled = false;
+    if (!failover.role().isForwarding()) {
+      check();
     }
   }
 
@@ -314,15 +346,25 @@
     if (heldByOther) {
       failover.gate().onPromotionOrdered(service);
     }
-    if (now() < earliestStartMs || heldByOther || run != null && !run.isEnded()) {
-      return;
-    }
-    if (run != null && run.isReleaseDenied() && now() - lastRunMs < RELEASE_RETRY_DELAY_MS) {
+    if (run != null && !run.isEnded()) {
       return;
     }
     String previous =
         previousPrimary.map(handle -> handle.target().id()).or(() -> lastPrimary).orElse("");
-    lastRunMs = now();
+    int holders = failover.store().liveVms().size();
+    boolean takesTurns = backoff.takesTurns(holders);
+    int position = takesTurns && !stepDownFirst ? votes.startPosition(previous) : 0;
+    boolean due = turn.isDue(position, takesTurns, heldByOther, now());
+    if (!due && !heldByOther) {
+      checkAfter(turn.waitMs(position, now()));
+    }
+    if (now() < earliestStartMs || !due) {
+      return;
+    }
+    if (run != null && !backoff.isOver(run, holders, now())) {
+      return;
+    }
+    backoff.onStarted();
     run =
         new FailoverRun(
             failover,
