Result code 1210 MEMORY_SHORT

A client that is refused for want of memory or descriptors needs to know that nothing ran and that another VM may serve it.

--- a/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
+++ b/core/src/main/java/io/lycheejunction/core/result/ResultCode.java
@@ -58,6 +58,8 @@
   TARGET_CONNECTIONS_FULL(1208, Outcome.REFUSED_NOT_RUN, 503),
   /** The organisation of the caller has used up its quota for now. */
   QUOTA_EXCEEDED(1209, Outcome.REFUSED_NOT_RUN, 429),
+  /** The VM has no memory or no descriptor left for the connection. */
+  MEMORY_SHORT(1210, Outcome.REFUSED_NOT_RUN, 503),
 
   /** No primary of the group is known. */
   NO_PRIMARY(1301, Outcome.REFUSED_NOT_RUN, 503),
