Run no further statement of a session while its answers are not taken

A caller that sends 64 statements ahead and reads nothing had all their answers collected and kept. The session now waits for its link, which reports unsent answers, and goes on when they are sent; the idle time limit of an open transaction runs meanwhile. The session reports the size of its variables and prepared statements, so that the link can count them.

--- a/core/src/main/java/io/lycheejunction/core/statement/SessionState.java
+++ b/core/src/main/java/io/lycheejunction/core/statement/SessionState.java
@@ -29,6 +29,22 @@
     return EMPTY;
   }
 
+  /**
+   * Returns the size of the state: one byte for each character of its names and values.
+   *
+   * @return the size, in bytes
+   */
+  public long sizeBytes() {
+    long bytes = 0;
+    for (Map.Entry<String, String> variable : variables.entrySet()) {
+      bytes += variable.getKey().length() + variable.getValue().length();
+    }
+    for (Map.Entry<String, PreparedStatement> entry : prepared.entrySet()) {
+      bytes += entry.getKey().length() + entry.getValue().text().length();
+    }
+    return bytes;
+  }
+
   /**
    * Returns the state after a session variable was set.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/link/CallerLink.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/link/CallerLink.java
@@ -40,6 +40,23 @@
    */
   void refuse(Fault fault, TransactionState state);
 
+  /**
+   * Returns whether earlier answers are not sent yet, so that no further statement should run. The
+   * session is told by {@code CallerSession.resume} when that ends.
+   *
+   * @return true if so
+   */
+  default boolean isCongested() {
+    return false;
+  }
+
+  /**
+   * Reports the size of the session's variables and prepared statements after a change.
+   *
+   * @param bytes the size, in bytes
+   */
+  default void setStateBytes(long bytes) {}
+
   /** Closes the connection once all answers have been sent. */
   void close();
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -90,14 +90,22 @@
   /** Clears session variables and prepared statements before the link serves another session. */
   public void reset() {
     state = SessionState.empty();
+    link.setStateBytes(0);
     answerEmpty();
   }
 
+  /** Runs the next statement if one waited only until earlier answers were sent. */
+  public void resume() {
+    if (!busy && !closed && !queue.isEmpty() && !link.isCongested()) {
+      handle(queue.pollFirst());
+    }
+  }
+
   private void accept(Query query) {
     if (closed) {
       return;
     }
-    if (busy || !queue.isEmpty()) {
+    if (busy || !queue.isEmpty() || link.isCongested()) {
       if (queue.size() >= MAX_QUEUED_STATEMENTS) {
         close();
         return;
@@ -247,6 +255,7 @@
     switch (LocalResult.of(state, statement)) {
       case LocalResult.Changed changed -> {
         state = changed.state();
+        link.setStateBytes(state.sizeBytes());
         answerEmpty();
       }
       case LocalResult.Refused refused -> refuse(refused.fault());
@@ -345,9 +354,8 @@
       close();
       return;
     }
-    Query nextQuery = queue.pollFirst();
-    if (nextQuery != null) {
-      handle(nextQuery);
+    if (!queue.isEmpty() && !link.isCongested()) {
+      handle(queue.pollFirst());
       return;
     }
     if (transaction != null) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/RecordingCallerLink.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/RecordingCallerLink.java
@@ -12,6 +12,8 @@
 final class RecordingCallerLink implements CallerLink {
   final List<String> replies = new ArrayList<>();
   boolean closed;
+  boolean congested;
+  long stateBytes;
 
   @Override
   public void accept() {
@@ -37,6 +39,16 @@
     replies.add(fault.code() + " " + state);
   }
 
+  @Override
+  public boolean isCongested() {
+    return congested;
+  }
+
+  @Override
+  public void setStateBytes(long bytes) {
+    stateBytes = bytes;
+  }
+
   @Override
   public void close() {
     closed = true;
