--- a/gateway/src/test/java/io/lycheejunction/gateway/session/OrganisationSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/OrganisationSessionTest.java
@@ -146,7 +146,7 @@
   }
 
   @Test
-  void shouldAcceptTheKeyWhenALaterConfigurationAddsIt() {
+  void shouldAcceptTheKeyWhenLaterConfigurationAddsIt() {
     assertTrue(gateway.open(caller, "db", new Credential("key-3")).isEmpty());
 
     gateway.apply(table(2, "key-1", "key-3"));
@@ -155,7 +155,7 @@
   }
 
   @Test
-  void shouldNotContainTheKeyWhenACredentialIsPrinted() {
+  void shouldNotContainTheKeyWhenCredentialIsPrinted() {
     assertFalse(new Credential("secret").toString().contains("secret"));
   }
 }
