Divide the connections of replicas by failure domain, and keep the only one of an organisation

The holders of a replica's failure domain read it, but had 11 of its 70 connections each; the rest was hardly used. And an organisation with many statements at a time took the only connection of others. A replica's own domain now has most of its connections, and the only connection of an organisation is kept from one that will soon get its own.

Tests: ConnectionDivisionTest, OrganisationPoolTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/IdleLinks.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/IdleLinks.java
@@ -43,9 +43,9 @@
     return List.copyOf(links);
   }
 
-  /** Returns the connection that has been idle longest; there must be one. */
-  PooledLink leastRecentlyUsed() {
-    return links.getLast();
+  /** Returns the connection that has been idle longest, of those that match a condition. */
+  Optional<PooledLink> leastRecentlyUsed(Predicate<PooledLink> condition) {
+    return links.reversed().stream().filter(condition).findFirst();
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/PoolLinks.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/PoolLinks.java
@@ -3,6 +3,7 @@
 import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -65,6 +66,25 @@
                 link -> nowMs - link.busySinceMs() < FREE_SOON_MS && rule.fits(link, request));
   }
 
+  /**
+   * Returns the idle connection to close so that one can be opened for a request: the one that has
+   * been idle longest, of those whose organisation has further ones if there are any.
+   *
+   * <p>The only connection of an organisation is not closed for a request of another one that will
+   * soon get a connection of its own organisation. Otherwise an organisation with many statements
+   * at a time takes the connections of those with few, whose next statements then need new ones.
+   */
+  Optional<PooledLink> evictableFor(LinkRequest request, long nowMs) {
+    Map<Optional<String>, Long> counts =
+        all().collect(Collectors.groupingBy(PooledLink::organisation, Collectors.counting()));
+    Optional<PooledLink> surplus =
+        idle.leastRecentlyUsed(link -> counts.get(link.organisation()) > 1);
+    if (surplus.isPresent() || isServedSoon(request, nowMs)) {
+      return surplus;
+    }
+    return idle.leastRecentlyUsed(link -> true);
+  }
+
   private Stream<PooledLink> all() {
     return Stream.of(idle.all(), busy, notReady).flatMap(Collection::stream);
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -177,7 +177,8 @@
     while (connectionCount() > share.max() && !links.idle().isEmpty()) {
       links
           .idle()
-          .leastRecentlyUsed()
+          .leastRecentlyUsed(link -> true)
+          .orElseThrow()
           .abandon(
               Fault.of(ResultCode.TARGET_LEAVING, "more connections than the share of this VM"));
     }
@@ -304,15 +305,18 @@
       open(register(organisation), first ? OpenReason.FIRST : OpenReason.ADDITIONAL);
       return true;
     }
-    if (links.idle().isEmpty()) {
+    Optional<PooledLink> evicted = links.evictableFor(request, scheduler.nowMs());
+    if (evicted.isEmpty()) {
+      if (!links.idle().isEmpty()) {
+        scheduler.schedule(PoolLinks.FREE_SOON_MS, () -> ensureOpening(requests.size()));
+      }
       return false;
     }
     targetFull = false;
-    PooledLink evicted = links.idle().leastRecentlyUsed();
     if (connectionCount() > maxLinks()) {
-      evicted.abandon(EVICTED);
+      evicted.get().abandon(EVICTED);
     } else {
-      replace(evicted, request);
+      replace(evicted.get(), request);
     }
     return true;
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -3,6 +3,7 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
+import io.lycheejunction.gateway.pool.ConnectionDivision;
 import io.lycheejunction.gateway.pool.ConnectionShare;
 import io.lycheejunction.gateway.pool.OpenReason;
 import io.lycheejunction.gateway.pool.TargetPool;
@@ -45,7 +46,7 @@
   private final TargetLinkOpener linkOpener;
   private final Map<String, Long> missingSinceMs = new HashMap<>();
   private Map<String, ServiceLimits> serviceLimits = Map.of();
-  private int vmCount = 1;
+  private ConnectionDivision division = new ConnectionDivision.Equal(1);
   private Consumer<OpenReason> openingListener = reason -> {};
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, Target> lastOfDropped = new HashMap<>();
@@ -285,7 +286,7 @@
             target,
             linkOpener,
             scheduler,
-            connectionShareOf(target.service()),
+            connectionShareOf(target, target.claimsPrimary()),
             reason -> onConnecting(target.id(), reason),
             fault -> onConnectFault(target.id(), fault));
     return new TargetHandle(target, pool, newestProvenTerm(target.service()), scheduler.nowMs());
@@ -300,20 +301,31 @@
   }
 
   /**
-   * Divides the connections that targets accept between VMs.
+   * Divides the connections that targets accept equally between VMs.
    *
    * @param limits the limits, keyed by service
    * @param vms the number of VMs that connect to targets
    */
   public void divideConnections(Map<String, ServiceLimits> limits, int vms) {
-    if (limits.equals(serviceLimits) && vms == vmCount) {
-      return;
+    divideConnections(limits, new ConnectionDivision.Equal(vms));
+  }
+
+  /**
+   * Divides the connections that targets accept between VMs. It is to be called again after the
+   * primary of a service may have changed.
+   *
+   * @param limits the limits, keyed by service
+   * @param changed how the connections are divided
+   */
+  public void divideConnections(Map<String, ServiceLimits> limits, ConnectionDivision changed) {
+    if (!limits.equals(serviceLimits) || !changed.equals(division)) {
+      serviceLimits = Map.copyOf(limits);
+      division = changed;
+      LOG.info("connections_shared", "division", division);
+    }
+    for (TargetHandle handle : byId.values()) {
+      handle.pool().setShare(connectionShareOf(handle.target(), handle.isPrimary()));
     }
-    serviceLimits = Map.copyOf(limits);
-    vmCount = vms;
-    LOG.info("connections_shared", "vms", vms);
-    byId.values()
-        .forEach(handle -> handle.pool().setShare(connectionShareOf(handle.target().service())));
   }
 
   /**
@@ -327,9 +339,9 @@
     return limits == null ? 0 : limits.syncReplicas();
   }
 
-  private ConnectionShare connectionShareOf(String service) {
-    ServiceLimits limits = serviceLimits.get(service);
-    return ConnectionShare.of(limits == null ? 0 : limits.maxConnections(), vmCount);
+  private ConnectionShare connectionShareOf(Target target, boolean primary) {
+    ServiceLimits limits = serviceLimits.get(target.service());
+    return division.shareOf(target, primary, limits == null ? 0 : limits.maxConnections());
   }
 
   /** Opening a connection counts as a request that the target answers without doing any work. */
