--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
@@ -89,6 +89,10 @@
         .orElse(direct);
   }
 
+  private TargetSelector selector() {
+    return role.isForwarding() ? forwarding : direct;
+  }
+
   /**
    * Returns whether a statement that starts now is sent to targets by this VM.
    *
@@ -99,10 +103,6 @@
     return selector(request) instanceof TargetSelector.Direct;
   }
 
-  private TargetSelector selector() {
-    return role.isForwarding() ? forwarding : direct;
-  }
-
   /**
    * Returns whether there is any target to send statements to.
    *
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
@@ -239,7 +239,7 @@
   @Test
   void shouldKeepTheOnlyConnectionOfOrganisationWhenAnotherWaitsForItsOwn() {
     open("bolt").release();
-    Request busy = open("acme");
+    final Request busy = open("acme");
     open("core").release();
 
     Request waiting = acquire("acme");
@@ -278,7 +278,7 @@
 
   /** Failure: a target counts the statement of a public route as one of an organisation. */
   @Test
-  void shouldOpenAConnectionOfNoOrganisationWhenRequestHasNone() {
+  void shouldOpenConnectionOfNoOrganisationWhenRequestHasNone() {
     open("acme").release();
 
     Request request = acquire(Optional.empty(), 1);
