--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -245,11 +245,20 @@
       return MAX_TRIES;
     }
 
-    /** A holder has already tried all targets, so another holder helps only if this one failed. */
+    /**
+     * A holder has already tried all targets, so another holder helps only if this one failed or
+     * has no room for the statement.
+     */
     @Override
     public boolean isRetriedAfter(Fault fault) {
       return switch (fault.code()) {
-        case SHUTTING_DOWN, NO_CONNECTION, TARGET_UNREACHABLE, WRONG_TARGET, NO_PRIMARY -> true;
+        case SHUTTING_DOWN,
+            NO_CONNECTION,
+            TARGET_UNREACHABLE,
+            WRONG_TARGET,
+            NO_PRIMARY,
+            MEMORY_SHORT ->
+            true;
         default -> false;
       };
     }
