--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
@@ -25,8 +25,11 @@
  * targets uses a token there; here it is refused only while a refusal of the holder is remembered.
  */
 public final class Quotas {
-  /** How long an operation waits for tokens of other holders, in milliseconds. */
-  static final long WAIT_MS = 80;
+  /**
+   * How long an operation waits for tokens of other holders, in milliseconds. It is the time limit
+   * for the answer of a VM.
+   */
+  static final long WAIT_MS = 200;
 
   private static final EventLog LOG = EventLog.of(Quotas.class);
 
@@ -341,12 +344,11 @@
     if (allowance.isEmpty() || name.isEmpty()) {
       return;
     }
-    Optional<Fault> refusal = fault.filter(f -> f.code() == ResultCode.QUOTA_EXCEEDED);
-    if (refusal.isPresent()) {
-      refusals.recordRefusal(name.get(), refusal.get().retryAfterMs(), scheduler.nowMs());
-    } else {
-      refusals.recordPassed(name.get());
-    }
+    fault
+        .filter(refusal -> refusal.code() == ResultCode.QUOTA_EXCEEDED)
+        .ifPresent(
+            refusal ->
+                refusals.recordRefusal(name.get(), refusal.retryAfterMs(), scheduler.nowMs()));
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/RefusalCache.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/RefusalCache.java
@@ -6,62 +6,43 @@
 /**
  * The refusals of holders, by organisation, on a VM that forwards statements.
  *
- * <p>An organisation is refused locally until the time that the holder has stated. Then one
- * operation is sent as a probe; the others follow once it was not refused, or after a short time,
- * since a holder refuses at once.
+ * <p>An organisation is refused locally for a short time only: the holder has stated when the
+ * refused operation may come back, but it may have room for another one before, and other holders,
+ * which run the statements of other services, may have room now.
  */
 final class RefusalCache {
-  /** How long the other operations wait for the answer to the probe, in milliseconds. */
-  static final long PROBE_MS = 100;
+  /**
+   * The longest time for which a refusal counts for further operations, in milliseconds. It bounds
+   * the messages of an organisation beyond its quota to one burst in this time.
+   */
+  static final long MAX_MS = 50;
 
-  /** The longest time for which a refusal is remembered, in milliseconds. */
-  static final long MAX_MS = 5_000;
+  private record Refusal(long refusedUntilMs, long statedUntilMs) {}
 
-  private static final long MIN_RETRY_MS = 20;
+  private final Map<String, Refusal> refusals = new HashMap<>();
 
-  private final Map<String, Long> refusedUntilMs = new HashMap<>();
-  private final Map<String, Long> probedMs = new HashMap<>();
-
-  /** Returns the time until an organisation may send again, in milliseconds; 0 if it may now. */
+  /**
+   * Returns the time after which a refused operation may come back, in milliseconds; 0 if the
+   * organisation is not refused now.
+   */
   long refusedForMs(String organisation, long nowMs) {
-    Long untilMs = refusedUntilMs.get(organisation);
-    if (untilMs == null) {
+    Refusal refusal = refusals.get(organisation);
+    if (refusal == null) {
       return 0;
     }
-    if (nowMs < untilMs) {
-      return untilMs - nowMs;
-    }
-    Long probeMs = probedMs.putIfAbsent(organisation, nowMs);
-    if (probeMs == null) {
+    if (nowMs >= refusal.refusedUntilMs()) {
+      refusals.remove(organisation);
       return 0;
     }
-    if (nowMs - probeMs >= PROBE_MS) {
-      forget(organisation);
-      return 0;
-    }
-    return Math.max(MIN_RETRY_MS, PROBE_MS - (nowMs - probeMs));
+    return refusal.statedUntilMs() - nowMs;
   }
 
   void recordRefusal(String organisation, long retryAfterMs, long nowMs) {
-    long untilMs = nowMs + Math.clamp(retryAfterMs, 0, MAX_MS);
-    refusedUntilMs.merge(organisation, untilMs, Math::max);
-    probedMs.remove(organisation);
-  }
-
-  /** Records that an operation was not refused; only the answer to a probe ends the refusal. */
-  void recordPassed(String organisation) {
-    if (probedMs.containsKey(organisation)) {
-      forget(organisation);
-    }
+    long statedMs = Math.clamp(retryAfterMs, 0, OrganisationQuota.MAX_RETRY_MS);
+    refusals.put(organisation, new Refusal(nowMs + Math.min(statedMs, MAX_MS), nowMs + statedMs));
   }
 
   void clear() {
-    refusedUntilMs.clear();
-    probedMs.clear();
-  }
-
-  private void forget(String organisation) {
-    refusedUntilMs.remove(organisation);
-    probedMs.remove(organisation);
+    refusals.clear();
   }
 }
