Send the first request for tokens, and serve waiting operations from the own bucket

The delay of the first request to a holder overflowed (Long.MIN_VALUE less the present time), so that it was never sent; its tokens counted as on their way, so that none was asked for again; and operations waited for them although the own bucket was full. The test clock hid it: it ran such a task at once. Test: QuotaTransferTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/OrganisationQuota.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/OrganisationQuota.java
@@ -191,6 +191,15 @@
     return allowance.giftLimit(quota, slots);
   }
 
+  /** Returns the time until the bucket has one more token, in milliseconds. */
+  long ownTokenMs(boolean holdsSlot, long nowMs) {
+    if (!holdsSlot) {
+      return Long.MAX_VALUE;
+    }
+    double missing = OPERATION * (1 + waiting.size()) - available(true, nowMs);
+    return (long) Math.ceil(Math.max(1, missing * MS_PER_S / bucket.ratePerS()));
+  }
+
   /** Returns the time in which another slot gains half a token, in milliseconds. */
   long halfTokenMs() {
     return (long) (MS_PER_S * slots / quota.ratePerS() / 2);
--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaRefill.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/QuotaRefill.java
@@ -31,6 +31,9 @@
   /** The most organisations in one request. */
   static final int MAX_ORGANISATIONS = 32;
 
+  /** So far back that the difference to the present time does not overflow. */
+  private static final long NEVER_SENT = Long.MIN_VALUE / 2;
+
   private static final long MIN_BACKOFF_MS = 100;
   private static final long MAX_BACKOFF_MS = 1_000;
 
@@ -52,7 +55,7 @@
     /** When the holder last gave tokens, in milliseconds, by organisation. */
     private final Map<String, Long> givenMs = new HashMap<>();
 
-    private long nextSendMs = Long.MIN_VALUE;
+    private long nextSendMs = NEVER_SENT;
     private long silentUntilMs = Long.MIN_VALUE;
     private boolean inFlight;
     private boolean scheduled;
--- a/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/quota/Quotas.java
@@ -257,6 +257,7 @@
     }
     boolean holdsSlot = holdsSlot(nowMs);
     organisation.recordDemand(nowMs);
+    startWaiting(organisation, holdsSlot, nowMs);
     Optional<QuotaPermit> permit =
         organisation.waiting().isEmpty() ? organisation.take(holdsSlot, nowMs) : Optional.empty();
     if (permit.isPresent()) {
@@ -286,6 +287,27 @@
       return;
     }
     scheduler.schedule(WAIT_MS, () -> onWaitedTooLong(organisation, waiter));
+    long ownTokenMs = organisation.ownTokenMs(holdsSlot, nowMs);
+    if (ownTokenMs < WAIT_MS) {
+      scheduler.schedule(ownTokenMs, () -> startWaiting(organisation));
+    }
+  }
+
+  private void startWaiting(OrganisationQuota organisation) {
+    long nowMs = scheduler.nowMs();
+    startWaiting(organisation, holdsSlot(nowMs), nowMs);
+  }
+
+  /** Starts the operations that wait, in their order, as far as there are tokens. */
+  private void startWaiting(OrganisationQuota organisation, boolean holdsSlot, long nowMs) {
+    while (!organisation.waiting().isEmpty()) {
+      Optional<QuotaPermit> permit = organisation.take(holdsSlot, nowMs);
+      if (permit.isEmpty()) {
+        return;
+      }
+      counts.allowed++;
+      end(organisation.waiting().pollFirst(), new QuotaDecision.Allowed(permit.get()));
+    }
   }
 
   private void onWaitedTooLong(OrganisationQuota organisation, OrganisationQuota.Waiter waiter) {
@@ -299,14 +321,7 @@
     OrganisationQuota organisation = received.organisation();
     boolean holdsSlot = holdsSlot(nowMs);
     organisation.receive(received.tokens(), holdsSlot, received.sentMs(), nowMs);
-    while (!organisation.waiting().isEmpty()) {
-      Optional<QuotaPermit> permit = organisation.take(holdsSlot, nowMs);
-      if (permit.isEmpty()) {
-        break;
-      }
-      counts.allowed++;
-      end(organisation.waiting().pollFirst(), new QuotaDecision.Allowed(permit.get()));
-    }
+    startWaiting(organisation, holdsSlot, nowMs);
     if (!organisation.waiting().isEmpty()
         && !refill.request(organisation, organisation.missing(holdsSlot, nowMs), true, nowMs)) {
       while (!organisation.waiting().isEmpty()) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/quota/QuotaTransferTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/quota/QuotaTransferTest.java
@@ -53,6 +53,16 @@
     return requests.getFirst();
   }
 
+  /** Failure: the other holder does not answer while the own bucket gains tokens. */
+  @Test
+  void shouldStartTheWaitingOperationWhenTheOwnBucketHasTokenAgain() {
+    quotas.apply(QuotaFleet.organisations(new Quota(100, 1)));
+    offer(4);
+    scheduler.advanceMs(Quotas.WAIT_MS / 2);
+
+    assertEquals(4, quotas.counts().allowed());
+  }
+
   @Test
   void shouldStartTheWaitingOperationWhenTokensArrive() {
     requestForToken().accept(ONE_TOKEN);
--- a/gateway/src/test/java/io/lycheejunction/gateway/schedule/ManualScheduler.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/schedule/ManualScheduler.java
@@ -29,7 +29,7 @@
 
   @Override
   public Timer schedule(long delayMs, Runnable action) {
-    Task task = new Task(nowMs + Math.max(0, delayMs), action);
+    Task task = new Task(Math.addExact(nowMs, Math.max(0, delayMs)), action);
     tasks.add(task);
     return () -> task.cancelled = true;
   }
