Keep the order of holders for an organisation until the holders change

Each statement of an organisation hashed all holders with murmur3, twice or more (for the quota, the first try and each retry), which is expensive before the code is compiled. The order itself is unchanged.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -3,7 +3,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.term.LogPosition;
-import io.lycheejunction.gateway.holder.HolderPlacement;
+import io.lycheejunction.gateway.holder.HolderOrders;
 import io.lycheejunction.gateway.holder.HolderTargets;
 import io.lycheejunction.gateway.lease.PrimaryUse;
 import io.lycheejunction.gateway.route.ReadRule;
@@ -194,14 +194,27 @@
    * @param holders the holders, as targets of each service
    * @param holderSelector selects the holder of each statement
    * @param vm the name of this VM
+   * @param orders the orders in which organisations use the holders
    */
-  record Forwarding(Targets holders, LeastCostSelector holderSelector, String vm)
+  record Forwarding(
+      Targets holders, LeastCostSelector holderSelector, String vm, HolderOrders orders)
       implements TargetSelector {
     private static final int MAX_TRIES = 3;
 
     /** The time that the reply of a holder takes, in milliseconds. */
     private static final long REPLY_MARGIN_MS = 20;
 
+    /**
+     * Creates a selector that keeps no orders of holders yet.
+     *
+     * @param holders the holders, as targets of each service
+     * @param holderSelector selects the holder of each statement
+     * @param vm the name of this VM
+     */
+    public Forwarding(Targets holders, LeastCostSelector holderSelector, String vm) {
+      this(holders, holderSelector, vm, new HolderOrders());
+    }
+
     @Override
     public Optional<LogPosition> floor(Route route, LogPosition sessionCommit, long nowMs) {
       boolean ownWrites = route.readRule() instanceof ReadRule.OwnWrites;
@@ -317,7 +330,7 @@
       }
       Set<String> vms = new HashSet<>(byVm.keySet());
       own.ifPresent(selector -> vms.add(forwarding.vm()));
-      return HolderPlacement.order(vms, organisation, service).stream()
+      return forwarding.orders().order(vms, organisation, service).stream()
           .takeWhile(vm -> own.isEmpty() || !vm.equals(forwarding.vm()))
           .map(byVm::get)
           .toList();
