Limit clients' work while the event loop is behind

After all VMs lost power, VMs with 0.12 core served nothing for 10 s: callers' lines were accepted without limit, and votes, leases, store calls and readiness waited behind them. Peers counted such a VM as silent after 200 ms, and it took healthy primaries for gone, since their answers lay unread.

A timer measures the lag. While the loop is behind, clients' lines get 25 ms of each turn, and their connections are not read from meanwhile; operations whose line waited for others and that would miss their latency objective are refused with WAIT_TOO_LONG; readiness is 503 if that lasts. Time in which the loop did not run no longer counts as silence of a target or of a peer. A loop that is not behind is not affected. loop-guard=off turns it off.

ManualScheduler can now stall, and its clock does not go back when a task has stalled it.

Tests: LoopLagTest, LoadGuardTest, LineTurnsTest, TargetsTest, PeerClientTest, PlatformSettingsTest, ClientCrowdTest.

--- a/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/Gateway.java
@@ -27,6 +27,7 @@
 
   private final DispatchContext dispatch;
   private final Quotas quotas;
+  private final LoadGuard guard;
   private final Set<WaitingSession> waiting = new LinkedHashSet<>();
   private final Set<CallerSession> sessions = new HashSet<>();
   private final Set<CallerSession> forwarded = new HashSet<>();
@@ -51,6 +52,18 @@
    * @param quotas limits the operations of organisations
    */
   public Gateway(DispatchContext dispatch, Quotas quotas) {
+    this(dispatch, quotas, LoadGuard.off(dispatch.scheduler()));
+  }
+
+  /**
+   * Creates a gateway without sessions.
+   *
+   * @param dispatch the services that run statements
+   * @param quotas limits the operations of organisations
+   * @param guard refuses operations while the event loop is behind
+   */
+  public Gateway(DispatchContext dispatch, Quotas quotas, LoadGuard guard) {
+    this.guard = Objects.requireNonNull(guard, "guard is null");
     this.dispatch = Objects.requireNonNull(dispatch, "dispatch is null");
     this.quotas = Objects.requireNonNull(quotas, "quotas is null");
   }
@@ -301,14 +314,22 @@
     if (!acceptsWork(origin)) {
       return new Admission.Refused(noNewWork());
     }
-    return switch (origin) {
-      case CALLER -> session.admission(routes);
-      case VM ->
-          forwarded
-              .<Admission>map(
-                  context -> new Admission.Admitted(context.route(), context.organisation()))
-              .orElseGet(() -> new Admission.Refused(noForwardedRoute()));
-    };
+    Admission admission =
+        switch (origin) {
+          case CALLER -> session.admission(routes);
+          case VM ->
+              forwarded
+                  .<Admission>map(
+                      context -> new Admission.Admitted(context.route(), context.organisation()))
+                  .orElseGet(() -> new Admission.Refused(noForwardedRoute()));
+        };
+    if (admission instanceof Admission.Admitted admitted) {
+      return guard
+          .refusalOf(admitted.route())
+          .<Admission>map(Admission.Refused::new)
+          .orElse(admitted);
+    }
+    return admission;
   }
 
   long idleTransactionMs() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -5,6 +5,7 @@
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
 import io.lycheejunction.gateway.pool.TargetPool;
+import java.util.function.LongSupplier;
 
 /** A target with its connection pool and its observed health, latency and log position. */
 public final class TargetHandle {
@@ -41,8 +42,12 @@
   private long overdueSinceMs = Long.MIN_VALUE;
   private LogPosition applied = LogPosition.ORIGIN;
   private FailureDetector failureDetector;
+  private final LongSupplier stalledMs;
+  private long stalledAtRequestMs;
 
-  TargetHandle(Target target, TargetPool pool, long newestProvenTerm, long nowMs) {
+  TargetHandle(
+      Target target, TargetPool pool, long newestProvenTerm, long nowMs, LongSupplier stalledMs) {
+    this.stalledMs = stalledMs;
     this.failureDetector = FailureDetector.initial(nowMs);
     this.target = target;
     this.pool = pool;
@@ -140,10 +145,20 @@
         || overdueSinceMs > lastAnswerMs;
   }
 
+  /**
+   * Returns how long a request is unanswered, without the time in which this VM's event loop was
+   * behind: an answer may have waited unread then.
+   */
   private long unansweredMs(long nowMs) {
-    return failureDetector.pendingSinceMs() == FailureDetector.NO_PENDING_REQUEST
-        ? 0
-        : nowMs - failureDetector.pendingSinceMs();
+    if (failureDetector.pendingSinceMs() == FailureDetector.NO_PENDING_REQUEST) {
+      return 0;
+    }
+    return Math.max(0, nowMs - failureDetector.pendingSinceMs() - behindMs());
+  }
+
+  /** Returns the time since the first unanswered request in which the event loop was behind. */
+  private long behindMs() {
+    return stalledMs.getAsLong() - stalledAtRequestMs;
   }
 
   /**
@@ -152,6 +167,9 @@
    * @param nowMs the present time, in milliseconds
    */
   public void recordRequest(long nowMs) {
+    if (failureDetector.pendingSinceMs() == FailureDetector.NO_PENDING_REQUEST) {
+      stalledAtRequestMs = stalledMs.getAsLong();
+    }
     failureDetector = failureDetector.afterRequest(nowMs);
     lastRequestMs = nowMs;
   }
@@ -191,7 +209,8 @@
   }
 
   /**
-   * Records that a connection could not be opened.
+   * Records that a connection could not be opened. The target counts as gone at once, unless the
+   * event loop was behind meanwhile: the time limit of the connection may have passed unused.
    *
    * @param fault why it failed
    * @param nowMs the present time, in milliseconds
@@ -200,7 +219,8 @@
     recordFault(fault, nowMs);
     boolean unavailable =
         fault.code() == ResultCode.TARGET_UNREACHABLE || fault.code() == ResultCode.WRONG_TARGET;
-    if (unavailable) {
+    boolean behind = behindMs() > 0 && unansweredMs(nowMs) < GONE_AFTER_MS;
+    if (unavailable && !behind) {
       failureDetector = failureDetector.afterRefusedConnection(nowMs);
     }
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * The directory of all registered targets.
@@ -47,6 +48,7 @@
   private Map<String, ServiceLimits> serviceLimits = Map.of();
   private int vmCount = 1;
   private Consumer<OpenReason> openingListener = reason -> {};
+  private LongSupplier stalledMs = () -> 0;
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, Target> lastOfDropped = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
@@ -71,6 +73,16 @@
     openingListener = listener;
   }
 
+  /**
+   * Sets the source of the time in which the event loop was behind. Targets that are added later
+   * are not considered silent in it.
+   *
+   * @param source supplies the sum since the start, in milliseconds
+   */
+  public void setStalledTime(LongSupplier source) {
+    stalledMs = source;
+  }
+
   /**
    * Updates the directory to the current registrations.
    *
@@ -288,7 +300,8 @@
             connectionShareOf(target.service()),
             reason -> onConnecting(target.id(), reason),
             fault -> onConnectFault(target.id(), fault));
-    return new TargetHandle(target, pool, newestProvenTerm(target.service()), scheduler.nowMs());
+    return new TargetHandle(
+        target, pool, newestProvenTerm(target.service()), scheduler.nowMs(), stalledMs);
   }
 
   private long newestProvenTerm(String service) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/schedule/ManualScheduler.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/schedule/ManualScheduler.java
@@ -34,6 +34,11 @@
     return () -> task.cancelled = true;
   }
 
+  /** Advances the clock without running tasks, as while the event loop is busy. */
+  public void stallMs(long durationMs) {
+    nowMs += durationMs;
+  }
+
   /** Advances the clock and runs the tasks that fall due, in order of their time. */
   public void advanceMs(long durationMs) {
     long untilMs = nowMs + durationMs;
@@ -43,7 +48,7 @@
               .filter(task -> task.dueMs <= untilMs)
               .min(Comparator.comparingLong(task -> task.dueMs));
       if (next.isEmpty()) {
-        nowMs = untilMs;
+        nowMs = Math.max(nowMs, untilMs);
         return;
       }
       tasks.remove(next.get());
--- a/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/target/TargetsTest.java
@@ -9,6 +9,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.link.FakeLinks;
+import io.lycheejunction.gateway.schedule.LoopLag;
 import io.lycheejunction.gateway.schedule.ManualScheduler;
 import java.util.List;
 import java.util.Optional;
@@ -41,6 +42,60 @@
     assertTrue(targets.find("i-1").isEmpty());
   }
 
+  /** Failure: a VM whose event loop was behind reported healthy primaries as gone. */
+  @Test
+  void shouldNotCountTargetAsGoneForTheTimeInWhichTheLoopWasBehind() {
+    LoopLag lag = new LoopLag(scheduler, 50);
+    targets.setStalledTime(lag::stalledMs);
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    lag.start();
+    handle("i-1").recordRequest(scheduler.nowMs());
+
+    scheduler.stallMs(2_000);
+    assertFalse(handle("i-1").isGone(scheduler.nowMs()));
+    scheduler.advanceMs(0);
+    assertFalse(handle("i-1").isGone(scheduler.nowMs()));
+    scheduler.advanceMs(299);
+    assertFalse(handle("i-1").isGone(scheduler.nowMs()));
+    scheduler.advanceMs(1);
+    assertTrue(handle("i-1").isGone(scheduler.nowMs()));
+  }
+
+  /** Failure: the time limit of a new connection passed while the loop was behind. */
+  @Test
+  void shouldNotCountTargetAsGoneWhenConnectingTimesOutWhileTheLoopWasBehind() {
+    LoopLag lag = new LoopLag(scheduler, 50);
+    targets.setStalledTime(lag::stalledMs);
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    lag.start();
+    handle("i-1").recordRequest(scheduler.nowMs());
+    scheduler.stallMs(2_000);
+    scheduler.advanceMs(0);
+
+    Fault fault = Fault.of(ResultCode.TARGET_UNREACHABLE, "timed out");
+    handle("i-1").connectFailed(fault, scheduler.nowMs());
+    assertFalse(handle("i-1").isGone(scheduler.nowMs()));
+    scheduler.advanceMs(300);
+    assertTrue(handle("i-1").isGone(scheduler.nowMs()));
+  }
+
+  /** Failure: a primary that has failed is found later although the loop is not behind. */
+  @Test
+  void shouldCountSilentTargetAsGoneInTheSameTimeWhenTheLoopIsNotBehind() {
+    LoopLag lag = new LoopLag(scheduler, 50);
+    targets.setStalledTime(lag::stalledMs);
+    targets.update(List.of(TestTargets.target("i-1", true, 1)));
+    lag.start();
+    scheduler.stallMs(2_000);
+    scheduler.advanceMs(0);
+    handle("i-1").recordRequest(scheduler.nowMs());
+
+    scheduler.advanceMs(349);
+    assertFalse(handle("i-1").isGone(scheduler.nowMs()));
+    scheduler.advanceMs(1);
+    assertTrue(handle("i-1").isGone(scheduler.nowMs()));
+  }
+
   @Test
   void shouldKeepItsConnectionsWhenTheMissingRegistrationReturns() {
     targets.update(List.of(TestTargets.target("i-1", true, 1)));
