--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -19,6 +19,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 /**
  * The directory of all registered targets.
@@ -48,6 +49,7 @@
   private Map<String, ServiceLimits> serviceLimits = Map.of();
   private ConnectionDivision division = new ConnectionDivision.Equal(1);
   private Consumer<OpenReason> openingListener = reason -> {};
+  private LongSupplier stalledMs = () -> 0;
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, Target> lastOfDropped = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
@@ -72,6 +74,16 @@
     openingListener = listener;
   }
 
+  /**
+   * Sets the source of the time in which the event loop was behind. Targets that are added later
+   * are not considered silent in it.
+   *
+   * @param source supplies the sum since the start, in milliseconds
+   */
+  public void setStalledTime(LongSupplier source) {
+    stalledMs = source;
+  }
+
   /**
    * Updates the directory to the current registrations.
    *
@@ -289,7 +301,8 @@
             connectionShareOf(target, target.claimsPrimary()),
             reason -> onConnecting(target.id(), reason),
             fault -> onConnectFault(target.id(), fault));
-    return new TargetHandle(target, pool, newestProvenTerm(target.service()), scheduler.nowMs());
+    return new TargetHandle(
+        target, pool, newestProvenTerm(target.service()), scheduler.nowMs(), stalledMs);
   }
 
   private long newestProvenTerm(String service) {
