Repeat votes on a failed primary only as often as others count them

Holders that considered a primary gone wrote their vote every second, and so did each that contradicted; every write wakes the polls of all holders. Others count a vote for 3 s, so it is now repeated after 2 s. A contradiction is repeated only if a report was repeated since, or if another VM has asked for the vote or a release: it would otherwise be written until the last report expires.

The first vote and each change are written at once as before.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverStore.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverStore.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 
 /** The votes and failover leases that VMs share through the platform's store. */
@@ -42,6 +43,19 @@
    */
   List<Vote> votes(String service);
 
+  /**
+   * Returns how long ago the newest vote that reports a primary gone was read.
+   *
+   * @param service the service
+   * @param primary the identifier of the primary
+   * @param exceptVm the name of a VM whose vote is left out
+   * @return the age in milliseconds, or empty if there is no such vote
+   */
+  default OptionalLong reportAgeMs(String service, String primary, String exceptVm) {
+    boolean reported = votes(service).stream().anyMatch(vote -> vote.isReportOf(primary, exceptVm));
+    return reported ? OptionalLong.of(0) : OptionalLong.empty();
+  }
+
   /**
    * Returns the VMs that count as running.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /** The votes of VMs on whether a service's primary is gone, from the store and from peers. */
@@ -120,11 +121,12 @@
     lastDecisionMs = nowMs;
   }
 
-  /** Returns whether another VM has reported that a primary is gone. */
-  boolean isReportedGoneByOthers(String primary) {
-    return failover.store().votes(service).stream()
-        .filter(vote -> vote.primary().equals(primary) && vote.gone())
-        .anyMatch(vote -> !vote.vm().equals(failover.vm()));
+  /**
+   * Returns how long ago this VM has read the newest report of another one that a primary is gone,
+   * in milliseconds, or empty if there is none.
+   */
+  OptionalLong reportAgeMs(String primary) {
+    return failover.store().reportAgeMs(service, primary, failover.vm());
   }
 
   /** Returns whether the votes are enough if VMs that have not voted are left out. */
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -17,7 +17,6 @@
 /** Watches the primary of one service and starts its replacement when it is gone or leaving. */
 final class ServiceWatch {
   private static final EventLog LOG = EventLog.of(ServiceWatch.class);
-  private static final long VOTE_REFRESH_MS = 1_000;
   private static final long LEAVING_JITTER_MS = 300;
 
   /**
@@ -50,8 +49,7 @@
   private final ReplacementTurn turn;
   private final RunBackoff backoff = new RunBackoff();
   private Optional<String> lastPrimary = Optional.empty();
-  private Optional<Boolean> lastVote = Optional.empty();
-  private long lastVoteMs;
+  private final OwnVote ownVote = new OwnVote();
   private long primaryFoundMs;
   private boolean awaitingFirstLease;
   private long earliestStartMs = Long.MIN_VALUE;
@@ -108,15 +106,16 @@
    */
   Optional<Vote> currentVote(String primary) {
     Optional<TargetHandle> known = failover.targets().primaryOf(service);
+    ownVote.onAsked();
     if (known.isEmpty()) {
-      return Optional.of(ownVote(primary, true));
+      return Optional.of(vote(primary, true));
     }
     TargetHandle handle = known.get();
     if (handle.isGone(now())) {
-      return Optional.of(ownVote(handle.target().id(), true));
+      return Optional.of(vote(handle.target().id(), true));
     }
     if (now() - handle.lastAnswerMs() <= MAX_ANSWER_AGE_MS) {
-      return Optional.of(ownVote(handle.target().id(), false));
+      return Optional.of(vote(handle.target().id(), false));
     }
     probe.probe(handle);
     return Optional.empty();
@@ -159,6 +158,7 @@
       if (now() - knownPrimary.get().lastAnswerMs() > MAX_ANSWER_AGE_MS) {
         probe.probe(knownPrimary.get());
       }
+      ownVote.onAsked();
       return ReleaseReply.refused(failover.vm());
     }
     LeaseContext leases = failover.leases();
@@ -215,7 +215,7 @@
             .isPresent();
     return !handle.isGone(now())
         && !inquiry.isInDoubt()
-        && !lastVote.equals(Optional.of(true))
+        && !ownVote.isGone()
         && !beingReplaced
         && !failover.leases().grants().isReleased(service, id, now());
   }
@@ -225,7 +225,7 @@
         && failover.leases().use().isAllowed(service, handle.target().id(), now());
   }
 
-  private Vote ownVote(String primary, boolean gone) {
+  private Vote vote(String primary, boolean gone) {
     return new Vote(failover.vm(), failover.failureDomain(), primary, gone);
   }
 
@@ -239,7 +239,7 @@
     if (id.isPresent() && !id.equals(lastPrimary)) {
       LOG.info("primary_found", "service", service, "target", id.get());
       lastPrimary = id;
-      lastVote = Optional.empty();
+      ownVote.clear();
       onReplacementNotNeeded();
       primaryFoundMs = now();
       awaitingFirstLease = true;
@@ -280,8 +280,10 @@
 
   private void updateVote(TargetHandle handle, boolean gone) {
     String primary = handle.target().id();
-    boolean reportedGone = votes.isReportedGoneByOthers(primary);
-    if (gone || lastVote.equals(Optional.of(true))) {
+    OptionalLong reportAgeMs = votes.reportAgeMs(primary);
+    boolean reportedGone = reportAgeMs.isPresent();
+    reportAgeMs.ifPresent(ageMs -> ownVote.onReported(now() - ageMs));
+    if (gone || ownVote.isGone()) {
       publishVote(primary, gone);
     } else if (reportedGone && now() - handle.lastAnswerMs() <= MAX_ANSWER_AGE_MS) {
       publishVote(primary, false);
@@ -291,14 +293,12 @@
   }
 
   private void publishVote(String primary, boolean gone) {
-    boolean changed = !lastVote.equals(Optional.of(gone));
-    if (!changed && now() - lastVoteMs < VOTE_REFRESH_MS) {
+    if (!ownVote.isDue(gone, now())) {
       return;
     }
-    lastVote = Optional.of(gone);
-    lastVoteMs = now();
+    ownVote.onPublished(gone, now());
     LOG.info("primary_vote", "service", service, "primary", primary, "gone", gone);
-    failover.store().publishVote(service, ownVote(primary, gone));
+    failover.store().publishVote(service, vote(primary, gone));
   }
 
   private void replaceIfGranted(String primary, Optional<TargetHandle> handle) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/Vote.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/Vote.java
@@ -17,4 +17,15 @@
     Objects.requireNonNull(failureDomain, "failureDomain is null");
     Objects.requireNonNull(primary, "primary is null");
   }
+
+  /**
+   * Returns whether this vote reports a primary gone.
+   *
+   * @param other the identifier of the primary
+   * @param exceptVm the name of a VM whose vote does not count
+   * @return true if a VM other than that one reports this primary gone
+   */
+  public boolean isReportOf(String other, String exceptVm) {
+    return gone && primary.equals(other) && !vm.equals(exceptVm);
+  }
 }
