Read repeated votes together

Each write of a vote wakes the polls of all holders, and votes that are repeated arrive one after the other, so that each cost every holder a call.

A pause after each change made replacements longer by some ms and was not adopted (docs/design/store-calls.md). The simulation now has the pause.

--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/SimulatedHolders.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/SimulatedHolders.java
@@ -55,6 +55,12 @@
   /** Called for each request for a release, with the name of the VM that asks. */
   Consumer<String> onReleaseRequest = vm -> {};
 
+  /** How long a VM does not read the store after a read that only repeats votes. */
+  long readPauseMs = 50;
+
+  /** The polls of the store that were answered with votes, on all VMs. */
+  int answeredPolls;
+
   final SimulatedNetwork network;
   final SimulatedStore store = new SimulatedStore();
   private final VoterSet voters;
@@ -148,6 +154,9 @@
     private boolean primaryLost;
     private long busyUntilMs;
     private long lastReadMs = Long.MIN_VALUE;
+    private long pausedUntilMs = Long.MIN_VALUE;
+    private boolean readScheduled;
+    private boolean unreadNews;
 
     private Node(String vm, String domain) {
       this.vm = vm;
@@ -280,11 +289,11 @@
         clock.schedule(
             STORE_MS + random.nextInt(8),
             () -> {
-              store.writeVote(vote, clock.nowMs());
+              boolean repeated = store.writeVote(vote, clock.nowMs());
               nodes
                   .values()
                   .forEach(
-                      one -> one.schedule(feedDelay.nextInt(8), () -> one.watch.checkPrimaries()));
+                      one -> one.schedule(feedDelay.nextInt(8), () -> one.onVoteWritten(repeated)));
             });
       }
     }
@@ -295,12 +304,31 @@
     }
 
     private long readMs() {
-      if (isReachable()) {
+      if (isReachable() && clock.nowMs() >= pausedUntilMs) {
         lastReadMs = clock.nowMs();
       }
       return lastReadMs;
     }
 
+    private void onVoteWritten(boolean repeated) {
+      unreadNews |= !repeated;
+      if (clock.nowMs() >= pausedUntilMs) {
+        readVotes();
+      } else if (!readScheduled) {
+        readScheduled = true;
+        schedule(pausedUntilMs - clock.nowMs(), this::readVotes);
+      }
+    }
+
+    private void readVotes() {
+      readScheduled = false;
+      answeredPolls++;
+      lastReadMs = isReachable() ? clock.nowMs() : lastReadMs;
+      pausedUntilMs = unreadNews ? Long.MIN_VALUE : clock.nowMs() + readPauseMs;
+      unreadNews = false;
+      watch.checkPrimaries();
+    }
+
     @Override
     public Map<String, String> liveVms() {
       Map<String, String> domains = new HashMap<>();
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/SimulatedStore.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/SimulatedStore.java
@@ -22,8 +22,12 @@
   private final Map<String, List<Written<Vote>>> votes = new HashMap<>();
   private final List<Written<Lease>> leases = new ArrayList<>();
 
-  void writeVote(Vote vote, long nowMs) {
-    votes.computeIfAbsent(vote.vm(), vm -> new ArrayList<>()).add(new Written<>(vote, nowMs));
+  /** Writes a vote; returns whether it repeats the one before. */
+  boolean writeVote(Vote vote, long nowMs) {
+    List<Written<Vote>> written = votes.computeIfAbsent(vote.vm(), vm -> new ArrayList<>());
+    boolean repeated = !written.isEmpty() && written.getLast().value().equals(vote);
+    written.add(new Written<>(vote, nowMs));
+    return repeated;
   }
 
   /** Returns the votes that a VM knows which has last read the store at the given time. */
