Limit the statements in progress at targets where it is enabled

The pool grants a connection only while the target has room, and the selector of reads counts the wait. Targets start low when they are found, promoted, or answer again after they were unreachable. Off unless Targets is given PaceMode.OBSERVED.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/LeastCostSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/LeastCostSelector.java
@@ -48,7 +48,8 @@
 
   private double costMs(
       TargetHandle handle, Optional<TargetHandle> primary, LogPosition floor, long nowMs) {
-    double costMs = (handle.pool().load() + 1) * handle.latencyMs();
+    double costMs =
+        (handle.pool().load() + 1) * handle.latencyMs() + handle.pool().expectedWaitMs();
     if (!handle.target().failureDomain().equals(failureDomain)) {
       costMs += OTHER_DOMAIN_COST_MS;
     }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/PooledLink.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/PooledLink.java
@@ -8,12 +8,15 @@
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TargetLink;
+import io.lycheejunction.gateway.pace.SentStatement;
+import io.lycheejunction.gateway.pace.StatementKind;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 
 /**
@@ -27,16 +30,21 @@
   private static final Consumer<LinkResult> SETUP_COMMAND = result -> {};
 
   private final TargetPool pool;
-  private final Deque<Consumer<LinkResult>> pending = new ArrayDeque<>();
+  private final Deque<PendingCommand> pending = new ArrayDeque<>();
   private final Map<PreparedStatement, String> preparedNames = new HashMap<>();
   private Map<String, String> sessionValues = Map.of();
   private TargetLink link;
   private boolean open;
   private boolean closed;
   private long idleSinceMs;
+  private final SentStatement opening;
+
+  /** A command without an answer; {@code statement} is empty unless it is a caller's. */
+  private record PendingCommand(Consumer<LinkResult> consumer, Optional<SentStatement> statement) {}
 
   PooledLink(TargetPool pool) {
     this.pool = pool;
+    this.opening = pool.pace().sent(StatementKind.CONNECT);
   }
 
   /**
@@ -90,7 +98,8 @@
       PreparedCommand command,
       Consumer<LinkResult> done) {
     List<TargetCommand> batch = startBatch(session);
-    addCommand(batch, command.withName(preparedNameOf(preparedStatement, batch)), done);
+    TargetCommand named = command.withName(preparedNameOf(preparedStatement, batch));
+    addCommand(batch, named, preparedStatement.writes(), done);
     if (command.endsTransaction()) {
       addSetup(batch, TargetCommand.ofGateway(new CallerStatement.Rollback()));
     }
@@ -161,16 +170,21 @@
   }
 
   void onOpened() {
+    if (!open && !closed) {
+      pool.pace().lost(opening);
+    }
     open = true;
   }
 
   void onReplied(LinkReply reply) {
-    Consumer<LinkResult> consumer = pending.pollFirst();
-    if (consumer == null) {
+    PendingCommand answered = pending.pollFirst();
+    if (answered == null) {
       abandon(
           Fault.of(ResultCode.TARGET_UNREACHABLE, "received an answer without a pending command"));
       return;
     }
+    answered.statement().ifPresent(sent -> pool.pace().answered(sent, reply.fault()));
+    Consumer<LinkResult> consumer = answered.consumer();
     if (consumer != SETUP_COMMAND) {
       consumer.accept(new LinkResult.Replied(reply));
     } else if (!reply.isDone()) {
@@ -181,6 +195,7 @@
     if (!closed && pending.isEmpty()) {
       pool.onAllAnswered(this);
     }
+    pool.serveWaiting();
   }
 
   void onClosed(Fault cause) {
@@ -188,10 +203,15 @@
       return;
     }
     closed = true;
+    if (!open) {
+      pool.pace().lost(opening);
+    }
+    pending.forEach(command -> command.statement().ifPresent(pool.pace()::lost));
     pool.onClosed(this, cause);
     while (!pending.isEmpty()) {
-      pending.pollFirst().accept(new LinkResult.Lost(cause));
+      pending.pollFirst().consumer().accept(new LinkResult.Lost(cause));
     }
+    pool.serveWaiting();
   }
 
   private List<TargetCommand> startBatch(SessionState session) {
@@ -234,7 +254,17 @@
 
   private void addCommand(
       List<TargetCommand> batch, TargetCommand command, Consumer<LinkResult> done) {
+    addCommand(batch, command, false, done);
+  }
+
+  private void addCommand(
+      List<TargetCommand> batch,
+      TargetCommand command,
+      boolean preparedWrites,
+      Consumer<LinkResult> done) {
     batch.add(command);
-    pending.addLast(done);
+    Optional<SentStatement> statement =
+        StatementKind.of(command, preparedWrites).map(pool.pace()::sent);
+    pending.addLast(new PendingCommand(done, statement));
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -5,6 +5,7 @@
 import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
+import io.lycheejunction.gateway.pace.TargetPace;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.Target;
 import java.util.ArrayDeque;
@@ -47,6 +48,7 @@
   private final Scheduler scheduler;
   private final Runnable onOpening;
   private final Consumer<Fault> onFault;
+  private final TargetPace pace;
   private final Deque<PooledLink> idle = new ArrayDeque<>();
   private final Set<PooledLink> busy = new HashSet<>();
 
@@ -67,6 +69,7 @@
    * @param share the maximum number of connections
    * @param onOpening is called when the pool starts to open a connection
    * @param onFault receives the fault of each connection that could not be opened
+   * @param pace limits the statements in progress
    */
   public TargetPool(
       Target target,
@@ -74,13 +77,15 @@
       Scheduler scheduler,
       ConnectionShare share,
       Runnable onOpening,
-      Consumer<Fault> onFault) {
+      Consumer<Fault> onFault,
+      TargetPace pace) {
     this.target = target;
     this.linkOpener = linkOpener;
     this.scheduler = scheduler;
     this.share = share;
     this.onOpening = onOpening;
     this.onFault = onFault;
+    this.pace = pace;
   }
 
   /**
@@ -95,12 +100,18 @@
               ResultCode.TARGET_LEAVING, "target " + target.id() + " is no longer in service"));
       return;
     }
-    Optional<PooledLink> free = takeIdle(request.session());
+    Optional<PooledLink> free = mayStart(request) ? takeIdle(request.session()) : Optional.empty();
     if (free.isPresent()) {
       busy.add(free.get());
       request.granted(free.get());
       return;
     }
+    Optional<Fault> tooLong =
+        pace.refusalOfWait(waitingBefore(request), share.max(), request.deadlineMs());
+    if (tooLong.isPresent() && !isProbe(request)) {
+      request.refused(tooLong.get());
+      return;
+    }
     enqueue(request);
     ensureOpening(requests.size());
     if (connectionCount() == 0) {
@@ -146,6 +157,24 @@
     return requests.size() + busy.size();
   }
 
+  /**
+   * Returns the limit on the statements in progress.
+   *
+   * @return the limit with what the target's answers have shown
+   */
+  public TargetPace pace() {
+    return pace;
+  }
+
+  /**
+   * Returns the expected time until a statement that arrives now is sent, due to the limit.
+   *
+   * @return the time, in milliseconds
+   */
+  public double expectedWaitMs() {
+    return pace.expectedWaitMs(requests.size(), share.max());
+  }
+
   /**
    * Returns the number of requests that wait.
    *
@@ -277,7 +306,7 @@
       return;
     }
     refuseExpired();
-    if (requests.isEmpty()) {
+    if (requests.isEmpty() || !mayStart(requests.getFirst())) {
       link.setIdleSince(scheduler.nowMs());
       idle.addFirst(link);
       if (share.maxIdle() == 0) {
@@ -289,6 +318,30 @@
     requests.removeFirst().granted(link);
   }
 
+  /** Serves waiting requests after statements have ended, as far as the target has room. */
+  void serveWaiting() {
+    while (pace.isLimited() && !requests.isEmpty() && mayStart(requests.getFirst())) {
+      Optional<PooledLink> free = takeIdle(requests.getFirst().session());
+      if (free.isEmpty()) {
+        ensureOpening(1);
+        return;
+      }
+      makeAvailable(free.get());
+    }
+  }
+
+  private boolean mayStart(LinkRequest request) {
+    return isProbe(request) || pace.hasRoom();
+  }
+
+  private static boolean isProbe(LinkRequest request) {
+    return request.priority() == LinkRequest.INTERNAL_PRIORITY;
+  }
+
+  private int waitingBefore(LinkRequest request) {
+    return (int) requests.stream().filter(r -> r.priority() <= request.priority()).count();
+  }
+
   private Optional<PooledLink> takeIdle(SessionState session) {
     for (PooledLink link : idle) {
       if (link.isSetUpFor(session)) {
@@ -315,6 +368,11 @@
             Fault.of(
                 ResultCode.DEADLINE_EXCEEDED,
                 "timed out while waiting for a connection to " + target.id()));
+        continue;
+      }
+      Optional<Fault> tooLate = pace.refusalOfSending(request.deadlineMs());
+      if (tooLate.isPresent() && !isProbe(request) && requests.remove(request)) {
+        request.refused(tooLate.get());
       }
     }
   }
@@ -327,13 +385,15 @@
   }
 
   private boolean canGrow() {
-    return !retired && connectionCount() < maxLinks() && scheduler.nowMs() >= noGrowthUntilMs;
+    return !retired
+        && connectionCount() < maxLinks()
+        && scheduler.nowMs() >= noGrowthUntilMs
+        && (requests.isEmpty() || mayStart(requests.getFirst()));
   }
 
   /** Returns the share, plus one connection if the first waiting request is a probe. */
   private int maxLinks() {
-    boolean probe =
-        !requests.isEmpty() && requests.getFirst().priority() == LinkRequest.INTERNAL_PRIORITY;
+    boolean probe = !requests.isEmpty() && isProbe(requests.getFirst());
     return probe ? share.max() + 1 : share.max();
   }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.pace.SlowStartCause;
 import io.lycheejunction.gateway.pool.TargetPool;
 
 /** A target with its connection pool and its observed health, latency and log position. */
@@ -21,6 +22,12 @@
    */
   private static final long GONE_AFTER_MS = 350;
 
+  /**
+   * How long a request is unanswered until the target counts as cold once it answers, in
+   * milliseconds; longer than a statement that is only slow.
+   */
+  private static final long COLD_AFTER_MS = 1_000;
+
   private static final long SUSPECTED_AFTER_MS = 60;
 
   /** How long a target that counts as gone is spared another request, in milliseconds. */
@@ -172,6 +179,9 @@
    * @param nowMs the present time, in milliseconds
    */
   public void recordAnswer(long nowMs) {
+    if (failureDetector.refused() || unansweredMs(nowMs) >= COLD_AFTER_MS) {
+      pool.pace().restart(SlowStartCause.REACHABLE_AGAIN);
+    }
     failureDetector = failureDetector.afterAnswer(nowMs);
     lastAnswerMs = nowMs;
   }
@@ -240,7 +250,9 @@
    * @param term the term in which it is primary
    */
   public void recordPrimary(long term) {
+    boolean wasPrimary = isPrimary();
     provenTerm = term;
+    restartIfPromoted(wasPrimary);
   }
 
   /**
@@ -285,6 +297,7 @@
   }
 
   void update(Target newer, long newestProvenTerm) {
+    boolean wasPrimary = isPrimary();
     if (newer.claimsPrimary() && !target.claimsPrimary()) {
       claimedAtRevision = newer.revision();
       claimedTerm = newestProvenTerm + 1;
@@ -293,5 +306,12 @@
       provenTerm = 0;
     }
     target = newer;
+    restartIfPromoted(wasPrimary);
+  }
+
+  private void restartIfPromoted(boolean wasPrimary) {
+    if (!wasPrimary && isPrimary()) {
+      pool.pace().restart(SlowStartCause.PROMOTED);
+    }
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -3,6 +3,9 @@
 import io.lycheejunction.common.log.EventLog;
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
+import io.lycheejunction.gateway.pace.PaceMode;
+import io.lycheejunction.gateway.pace.SlowStartCause;
+import io.lycheejunction.gateway.pace.TargetPace;
 import io.lycheejunction.gateway.pool.ConnectionShare;
 import io.lycheejunction.gateway.pool.TargetPool;
 import io.lycheejunction.gateway.route.ServiceLimits;
@@ -41,22 +44,36 @@
 
   private final Scheduler scheduler;
   private final TargetLinkOpener linkOpener;
+  private final PaceMode paceMode;
   private final Map<String, Long> missingSinceMs = new HashMap<>();
   private Map<String, ServiceLimits> serviceLimits = Map.of();
   private int vmCount = 1;
+  private SlowStartCause foundCause = SlowStartCause.REGISTERED_BEFORE;
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, Target> lastOfDropped = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
 
   /**
-   * Creates a directory without targets.
+   * Creates a directory without targets, whose statements in progress are not limited.
    *
    * @param scheduler the clock and the timers of the gateway's thread
    * @param linkOpener opens connections to targets
    */
   public Targets(Scheduler scheduler, TargetLinkOpener linkOpener) {
+    this(scheduler, linkOpener, PaceMode.OFF);
+  }
+
+  /**
+   * Creates a directory without targets.
+   *
+   * @param scheduler the clock and the timers of the gateway's thread
+   * @param linkOpener opens connections to targets
+   * @param paceMode whether the statements in progress at each target are limited
+   */
+  public Targets(Scheduler scheduler, TargetLinkOpener linkOpener, PaceMode paceMode) {
     this.scheduler = scheduler;
     this.linkOpener = linkOpener;
+    this.paceMode = paceMode;
   }
 
   /**
@@ -78,6 +95,7 @@
       }
     }
     missingSinceMs.keySet().removeAll(present);
+    foundCause = registered.isEmpty() ? foundCause : SlowStartCause.FOUND;
     rebuildIndex();
   }
 
@@ -253,7 +271,8 @@
             scheduler,
             connectionShareOf(target.service()),
             () -> onConnecting(target.id()),
-            fault -> onConnectFault(target.id(), fault));
+            fault -> onConnectFault(target.id(), fault),
+            TargetPace.of(paceMode, target.id(), target.slots(), scheduler, foundCause));
     return new TargetHandle(target, pool, newestProvenTerm(target.service()), scheduler.nowMs());
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/TargetPoolTest.java
@@ -12,6 +12,7 @@
 import io.lycheejunction.gateway.link.FakeLinks;
 import io.lycheejunction.gateway.link.TargetCommand;
 import io.lycheejunction.gateway.link.TransactionState;
+import io.lycheejunction.gateway.pace.TargetPace;
 import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import io.lycheejunction.gateway.schedule.ManualScheduler;
@@ -76,7 +77,8 @@
           scheduler,
           new ConnectionShare(2, 1),
           () -> {},
-          connectFaults::add);
+          connectFaults::add,
+          TargetPace.off("i-1", scheduler));
 
   private RecordingRequest acquire(SessionState session, int priority) {
     RecordingRequest request = new RecordingRequest(session, priority);
