--- a/review/standin/Node.java
+++ b/review/standin/Node.java
@@ -13,6 +13,13 @@
 
 /** One program of the deploy file in a process of its own, with a filled-in settings file. */
 final class Node implements AutoCloseable {
+  /** Sections for deployments with load control, which this stand-in is not. */
+  private static final String PRESENT_QUOTA_WINDOW =
+      "\\{\\{#bounds\\.quota-window-s}}.*?\\{\\{/bounds\\.quota-window-s}}";
+
+  private static final String ABSENT_QUOTA_WINDOW =
+      "\\{\\{\\^bounds\\.quota-window-s}}(.*?)\\{\\{/bounds\\.quota-window-s}}";
+
   private static final String ZONES = "{{#zones}}{{@}}{{,}}{{/zones}}";
 
   private final Record record;
@@ -61,6 +68,7 @@
     fields.put("port-range.0", Integer.toString(range));
     fields.put("port-range.1", Integer.toString(range + 1));
     String text = Files.readString(Path.of("deploy/settings.properties")).replace(ZONES, "a,b,c");
+    text = text.replaceAll(PRESENT_QUOTA_WINDOW, "").replaceAll(ABSENT_QUOTA_WINDOW, "$1");
     for (Map.Entry<String, String> field : fields.entrySet()) {
       text = text.replace("{{" + field.getKey() + "}}", field.getValue());
     }
