--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -250,7 +250,7 @@
    * @param term the term in which it is primary
    */
   public void recordPrimary(long term) {
-    boolean wasPrimary = isPrimary();
+    final boolean wasPrimary = isPrimary();
     provenTerm = term;
     restartIfPromoted(wasPrimary);
   }
@@ -297,7 +297,7 @@
   }
 
   void update(Target newer, long newestProvenTerm) {
-    boolean wasPrimary = isPrimary();
+    final boolean wasPrimary = isPrimary();
     if (newer.claimsPrimary() && !target.claimsPrimary()) {
       claimedAtRevision = newer.revision();
       claimedTerm = newestProvenTerm + 1;
--- a/gateway/src/test/java/io/lycheejunction/gateway/pace/SharedTargetTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pace/SharedTargetTest.java
@@ -92,6 +92,21 @@
     assertTrue(limited.sum(h -> h.served) >= unlimited.sum(h -> h.served) * 0.97);
   }
 
+  /** The statements of an organisation go to one holder, which then has most of a target's load. */
+  @Test
+  void shouldServeNoLessWhenOneHolderHasMostOfTheLoad() {
+    World unlimited = new World(PaceMode.OFF, 6);
+    World limited = new World(PaceMode.OBSERVED, 6);
+    for (World world : List.of(unlimited, limited)) {
+      long untilMs = world.scheduler.nowMs() + RUN_MS;
+      world.holders.getFirst().load(0.8 * CAPACITY_PER_S, untilMs);
+      world.run(0.1, RUN_MS);
+    }
+
+    assertTrue(limited.sum(h -> h.served) >= unlimited.sum(h -> h.served));
+    assertTrue(limited.target.refusedShare() < 0.01);
+  }
+
   @Test
   void shouldKeepSlotsBusyWhenTargetLosesHalfItsSpeed() {
     World world = new World(PaceMode.OBSERVED, 6);
