Merge the limit on the statements in progress at a target

TargetPool keeps the connections by organisation. LimitedStarts asks the limit for the request that is granted, also where LinkQueue.nextFor passes over requests; a connection that replaces one of another organisation counts as being opened. After statements have ended, each waiting request gets an idle connection of its organisation; one that no connection will soon serve gets a new one before later requests use up the room. With target-pace=off no request waits or is refused because of the limit.

--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.link.LinkReply;
 import io.lycheejunction.gateway.link.TargetLinkOpener;
+import io.lycheejunction.gateway.pace.TargetPace;
 import io.lycheejunction.gateway.schedule.Scheduler;
 import io.lycheejunction.gateway.target.Target;
 import java.util.Optional;
@@ -35,6 +36,9 @@
   private static final Fault EVICTED =
       Fault.of(ResultCode.TARGET_LEAVING, "another organisation needs the connection");
 
+  private static final Fault BEYOND_SHARE =
+      Fault.of(ResultCode.TARGET_LEAVING, "more connections than the share of this VM");
+
   private final Target target;
   private final TargetLinkOpener linkOpener;
   private final Scheduler scheduler;
@@ -43,6 +47,7 @@
   private final OrganisationRule rule;
   private final PoolLinks links;
   private final LinkQueue requests;
+  private final LimitedStarts starts;
   private ConnectionShare share;
   private long noGrowthUntilMs = Long.MIN_VALUE;
   private boolean retired;
@@ -59,6 +64,7 @@
    * @param share the maximum number of connections
    * @param onOpening receives the reason when the pool starts to open a connection
    * @param onFault receives the fault of each connection that could not be opened
+   * @param pace limits the statements in progress
    */
   public TargetPool(
       Target target,
@@ -66,7 +72,8 @@
       Scheduler scheduler,
       ConnectionShare share,
       Consumer<OpenReason> onOpening,
-      Consumer<Fault> onFault) {
+      Consumer<Fault> onFault,
+      TargetPace pace) {
     this.target = target;
     this.linkOpener = linkOpener;
     this.scheduler = scheduler;
@@ -76,6 +83,7 @@
     this.links = new PoolLinks(rule);
     this.requests = new LinkQueue(rule);
     this.onFault = onFault;
+    this.starts = new LimitedStarts(pace, scheduler, links, requests);
   }
 
   /**
@@ -88,18 +96,25 @@
       request.refused(notInService());
       return;
     }
-    Optional<PooledLink> free = links.idle().take(request);
+    Optional<PooledLink> free = starts.takeIdle(request);
     if (free.isPresent()) {
       grant(free.get(), request);
       return;
     }
+    if (starts.refusesToWait(request, share.max())) {
+      return;
+    }
     requests.add(request);
     ensureOpening(requests.size());
     if (connectionCount() == 0) {
-      scheduler.schedule(NO_CONNECTION_TIMEOUT_MS, () -> refuseIfUnconnected(request));
+      scheduleRefusal(request);
     }
   }
 
+  private void scheduleRefusal(LinkRequest request) {
+    scheduler.schedule(NO_CONNECTION_TIMEOUT_MS, () -> refuseIfUnconnected(request));
+  }
+
   private void grant(PooledLink link, LinkRequest request) {
     link.setBusySince(scheduler.nowMs());
     links.busy().add(link);
@@ -140,6 +155,24 @@
     return requests.size() + links.busy().size();
   }
 
+  /**
+   * Returns the limit on the statements in progress.
+   *
+   * @return the limit with what the target's answers have shown
+   */
+  public TargetPace pace() {
+    return starts.pace();
+  }
+
+  /**
+   * Returns the expected time until a statement that arrives now is sent, due to the limit.
+   *
+   * @return the time, in milliseconds
+   */
+  public double expectedWaitMs() {
+    return pace().expectedWaitMs(requests.size(), share.max());
+  }
+
   /**
    * Returns the number of requests that wait.
    *
@@ -175,11 +208,7 @@
   public void setShare(ConnectionShare changed) {
     share = changed;
     while (connectionCount() > share.max() && !links.idle().isEmpty()) {
-      links
-          .idle()
-          .leastRecentlyUsed()
-          .abandon(
-              Fault.of(ResultCode.TARGET_LEAVING, "more connections than the share of this VM"));
+      links.idle().leastRecentlyUsed().abandon(BEYOND_SHARE);
     }
   }
 
@@ -204,10 +233,8 @@
 
   /** Closes connections that have been idle too long; those beyond the idle share close sooner. */
   public void closeIdle() {
-    links
-        .idle()
-        .expired(share, scheduler.nowMs())
-        .forEach(link -> link.abandon(Fault.of(ResultCode.TARGET_UNREACHABLE, "idle")));
+    Fault cause = Fault.of(ResultCode.TARGET_UNREACHABLE, "idle");
+    links.idle().expired(share, scheduler.nowMs()).forEach(link -> link.abandon(cause));
   }
 
   void release(PooledLink link) {
@@ -239,11 +266,7 @@
       onFault.accept(cause);
     }
     if (!requests.isEmpty() && connectionCount() == 0 && wasOpening && isFull(cause)) {
-      requests
-          .all()
-          .forEach(
-              request ->
-                  scheduler.schedule(NO_CONNECTION_TIMEOUT_MS, () -> refuseIfUnconnected(request)));
+      requests.all().forEach(this::scheduleRefusal);
     } else if (!requests.isEmpty() && connectionCount() == 0 && wasOpening) {
       requests.refuseAll(cause);
     } else if (!requests.isEmpty()) {
@@ -265,9 +288,8 @@
       link.abandon(notInService());
       return;
     }
-    requests.refuseExpired(scheduler.nowMs(), target.id());
-    Optional<LinkRequest> next =
-        requests.nextFor(link, request -> links.isServedSoon(request, scheduler.nowMs()));
+    starts.refuseLate(target.id());
+    Optional<LinkRequest> next = starts.nextFor(link);
     if (next.isEmpty()) {
       links.idle().add(link, scheduler.nowMs());
       if (share.maxIdle() == 0) {
@@ -284,17 +306,24 @@
     }
   }
 
+  /** Serves waiting requests after statements have ended, as far as the target has room. */
+  void serveWaiting() {
+    if (!retired && starts.serveWaiting(target.id(), this::grant, this::tryOpen)) {
+      ensureOpening(requests.size());
+    }
+  }
+
   /** Opens connections for those of the first waiting requests that have none coming. */
   private void ensureOpening(int wanted) {
-    Optional<LinkRequest> next = requests.firstWithoutLink(wanted, links.opening());
+    Optional<LinkRequest> next = requests.firstWithoutLink(wanted, links.comingOrIdle());
     while (next.isPresent() && tryOpen(next.get())) {
-      next = requests.firstWithoutLink(wanted, links.opening());
+      next = requests.firstWithoutLink(wanted, links.comingOrIdle());
     }
   }
 
   /** Opens a connection, or closes one to make room; returns false if neither is possible. */
   private boolean tryOpen(LinkRequest request) {
-    if (retired || scheduler.nowMs() < noGrowthUntilMs) {
+    if (retired || scheduler.nowMs() < noGrowthUntilMs || !starts.mayStart(request)) {
       return false;
     }
     boolean hasRoom = connectionCount() < maxLinks();
@@ -337,17 +366,9 @@
 
   private void open(PooledLink pooled, OpenReason reason) {
     onOpening.accept(reason);
-    pooled.attach(linkOpener.open(target, pooled.organisation(), new Listener(this, pooled)));
-    scheduler.schedule(OPEN_TIMEOUT_MS, () -> onOpenTimeout(pooled));
-  }
-
-  private void onOpenTimeout(PooledLink pooled) {
-    if (!pooled.isOpen()) {
-      pooled.abandon(
-          Fault.of(
-              ResultCode.TARGET_UNREACHABLE,
-              "no greeting within the time limit from " + target.id()));
-    }
+    pooled.attach(
+        linkOpener.open(target, pooled.organisation(), new PooledLinkListener(this, pooled)));
+    scheduler.schedule(OPEN_TIMEOUT_MS, () -> pooled.abandonUnlessOpen(target.id()));
   }
 
   private Fault notInService() {
@@ -355,7 +376,7 @@
         ResultCode.TARGET_LEAVING, "target " + target.id() + " is no longer in service");
   }
 
-  private void onOpened(PooledLink pooled, LinkReply reply) {
+  void onOpened(PooledLink pooled, LinkReply reply) {
     targetFull = reply.fault().filter(TargetPool::isFull).isPresent();
     if (targetFull) {
       noGrowthUntilMs = scheduler.nowMs() + FULL_BACKOFF_MS;
@@ -369,27 +390,10 @@
     if (links.notReady().remove(pooled)) {
       makeAvailable(pooled);
     }
+    serveWaiting();
   }
 
   private static boolean isFull(Fault fault) {
     return fault.code() == ResultCode.TARGET_CONNECTIONS_FULL;
   }
-
-  private record Listener(TargetPool pool, PooledLink pooled) implements TargetLinkOpener.Listener {
-
-    @Override
-    public void opened(LinkReply reply) {
-      pool.onOpened(pooled, reply);
-    }
-
-    @Override
-    public void replied(LinkReply reply) {
-      pooled.onReplied(reply);
-    }
-
-    @Override
-    public void closed(Fault cause) {
-      pooled.onClosed(cause);
-    }
-  }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pool/OrganisationPoolTest.java
@@ -8,6 +8,7 @@
 import io.lycheejunction.core.statement.SessionState;
 import io.lycheejunction.gateway.link.FakeLinks;
 import io.lycheejunction.gateway.link.FakeLinks.FakeLink;
+import io.lycheejunction.gateway.pace.TargetPace;
 import io.lycheejunction.gateway.schedule.ManualScheduler;
 import io.lycheejunction.gateway.target.TestTargets;
 import java.util.ArrayList;
@@ -81,7 +82,8 @@
         scheduler,
         new ConnectionShare(SHARE, 1),
         reasons::add,
-        fault -> {});
+        fault -> {},
+        TargetPace.off("i-1", scheduler));
   }
 
   private Request acquire(String organisation) {
