Serve waiting requests of all organisations in order at a limited target

A request waited although its organisation had an idle connection: a connection that became free was closed and replaced for it, since idle connections were not considered, and a request without a connection was overtaken. With a limit, a freed connection becomes idle and the waiting requests are then considered in order, also after a connection was opened. Without a limit nothing changes.

--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/LimitedStarts.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/LimitedStarts.java
@@ -52,11 +52,14 @@
     }
   }
 
-  /** Returns the request that gets a connection that became free, if there is one with room. */
+  /**
+   * Returns the request that gets a connection that became free. With a limit it is empty: requests
+   * before it may have idle connections, so that all are considered by {@link #serveWaiting}.
+   */
   Optional<LinkRequest> nextFor(PooledLink freed) {
-    return requests
-        .nextFor(freed, request -> links.isServedSoon(request, scheduler.nowMs()))
-        .filter(this::mayStart);
+    return pace.isLimited()
+        ? Optional.empty()
+        : requests.nextFor(freed, request -> links.isServedSoon(request, scheduler.nowMs()));
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -295,6 +295,7 @@
       if (share.maxIdle() == 0) {
         scheduler.schedule(IdleLinks.ZERO_SHARE_IDLE_TIMEOUT_MS, this::closeIdle);
       }
+      serveWaiting();
       ensureOpening(requests.size());
     } else if (rule.fits(link, next.get())) {
       requests.remove(next.get());
@@ -387,9 +388,7 @@
       return;
     }
     pooled.onOpened();
-    if (links.notReady().remove(pooled)) {
-      makeAvailable(pooled);
-    }
+    onAllAnswered(pooled);
     serveWaiting();
   }
 
