Name the test of a cold target after what it asserts

It asserts at least 97% of the statements served without a limit, and less than a third of the refusals. The assertions are unchanged.

SharedTargetTest

--- a/gateway/src/test/java/io/lycheejunction/gateway/pace/SharedTargetTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pace/SharedTargetTest.java
@@ -80,7 +80,7 @@
   }
 
   @Test
-  void shouldServeMoreWhenColdTargetSlowsUnderLoad() {
+  void shouldRefuseFarLessAndServeNearlyAsManyWhenColdTargetSlowsUnderLoad() {
     World unlimited = new World(PaceMode.OFF, 6);
     World limited = new World(PaceMode.OBSERVED, 6);
     for (World world : List.of(unlimited, limited)) {
