Keep the limit of a healthy target, and refuse only under overload

Statements were refused with WAIT_TOO_LONG because of one slow first answer, a few lock waits or a limit that was still doubling. Nothing is refused now before a sign of overload, or with fewer than 3 recent answers; the wait is estimated from the fastest three quarters of the answers, the statement's own latency from the fastest kind. Statements that are given up count, since the answered ones are only the fastest.

The limit of a healthy target fell for four reasons: - Short writes that wait behind long reads looked slow: the added latency is compared with the longest kind. - Writes and commits wait for locks and replicas: their latency reduces the limit only to the slots. - A write behind a lock held up all others at a limit of 1: writes and commits count for 300 ms at most. - Some long reads raised the median: from 10 s after the start on, the lower quartile decides on reductions.

--- a/gateway/src/main/java/io/lycheejunction/gateway/pace/ConcurrencyLimit.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pace/ConcurrencyLimit.java
@@ -38,6 +38,11 @@
     return (int) Math.min(value, Integer.MAX_VALUE);
   }
 
+  /** Returns whether a sign of overload was seen, so that the limit does not double any more. */
+  boolean isReduced() {
+    return threshold < Double.POSITIVE_INFINITY;
+  }
+
   /** Returns the limit after the target has started, was promoted or is reachable again. */
   ConcurrencyLimit restarted() {
     return new ConcurrencyLimit(
@@ -57,7 +62,7 @@
       return this;
     }
     return switch (level) {
-      case HIGH -> sent.inProgress() > 1 ? reduced(LATENCY_FACTOR) : this;
+      case HIGH -> sent.inProgress() > 1 ? afterHighLatency(sent, slots) : this;
       case RAISED -> this;
       case NORMAL -> grown(Math.max(peak, sent.inProgress()), slots);
     };
@@ -68,6 +73,12 @@
     return sent.reductions() == reductions ? reduced(REFUSAL_FACTOR) : this;
   }
 
+  /** Writes may wait for locks and replicas, so their latency alone leaves the slots in use. */
+  private ConcurrencyLimit afterHighLatency(SentStatement sent, int slots) {
+    int lowest = sent.kind().mayWait() ? slots : 1;
+    return value * LATENCY_FACTOR < lowest && lowest > 1 ? this : reduced(LATENCY_FACTOR);
+  }
+
   private ConcurrencyLimit reduced(double factor) {
     double lower = Math.max(1, value * factor);
     return new ConcurrencyLimit(lower, lower, reductions + 1, 0, 0);
--- a/gateway/src/main/java/io/lycheejunction/gateway/pace/LatencyTrend.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pace/LatencyTrend.java
@@ -11,7 +11,7 @@
  * become slower for good.
  */
 final class LatencyTrend {
-  /** The number of answers of which the recent latency is the median. */
+  /** The number of answers of which the recent latency is the median or the lower quartile. */
   static final int MEDIAN_OF = 9;
 
   /** How long the lowest latency counts at least, in milliseconds. */
@@ -20,11 +20,18 @@
   /** How long the limit does not grow after a refusal unless the latency falls. */
   static final long HOLD_AFTER_REFUSAL_MS = 6_000;
 
+  /**
+   * How long a target counts as cold, in milliseconds. Until then the median must be high for a
+   * reduction, later the lower quartile: work in progress slows all statements, while a few long
+   * ones at a warm target raise only the median.
+   */
+  private static final long COLD_MS = 10_000;
+
   /** The latency of a target whose queue has drained, as a part of that of the full one. */
   private static final double DRAINED_FACTOR = 0.6;
 
-  private static final double NEAR_FACTOR = 2;
-  private static final double HIGH_FACTOR = 3;
+  private static final double NEAR_FACTOR = 1;
+  private static final double HIGH_FACTOR = 2;
 
   /** Differences below this are due to the network and the processor of this VM. */
   private static final double SLACK_MS = 8;
@@ -35,9 +42,13 @@
   private long periodStartMs = Long.MIN_VALUE;
   private double refusedAtMs = Double.POSITIVE_INFINITY;
   private long refusedUntilMs = Long.MIN_VALUE;
+  private long coldUntilMs = Long.MIN_VALUE;
 
   /** Records the latency of an answered statement. */
   void record(long tookMs, long nowMs) {
+    if (lastMs.isEmpty()) {
+      coldUntilMs = nowMs + COLD_MS;
+    }
     lastMs.addLast(tookMs);
     if (lastMs.size() > MEDIAN_OF) {
       lastMs.removeFirst();
@@ -64,18 +75,29 @@
     lastMs.clear();
   }
 
-  /** Returns the level of the recent latency; normal as long as nothing was recorded. */
-  LatencyLevel level(long nowMs) {
+  /** Returns the lowest latency; 0 if none was recorded lately. */
+  double lowestMs(long nowMs) {
+    boolean outdated = lastMs.isEmpty() || nowMs - periodStartMs >= 2 * PERIOD_MS;
+    return outdated ? 0 : Math.min(lowestMs, previousLowestMs);
+  }
+
+  /**
+   * Returns the level of the recent latency; normal as long as nothing was recorded.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @param scaleMs the latency of an idle target that the added latency is compared with
+   */
+  LatencyLevel level(long nowMs, double scaleMs) {
     if (lastMs.isEmpty()) {
       return LatencyLevel.NORMAL;
     }
-    double baseMs = Math.min(lowestMs, previousLowestMs);
     double medianMs = median();
-    if (medianMs > baseMs * HIGH_FACTOR + SLACK_MS) {
+    double baseMs = Math.min(lowestMs, previousLowestMs) + SLACK_MS;
+    if (quantile(nowMs < coldUntilMs ? 2 : 4) - baseMs > scaleMs * HIGH_FACTOR) {
       return LatencyLevel.HIGH;
     }
     boolean full = nowMs < refusedUntilMs && medianMs > refusedAtMs * DRAINED_FACTOR;
-    return full || medianMs > baseMs * NEAR_FACTOR + SLACK_MS
+    return full || medianMs - baseMs > scaleMs * NEAR_FACTOR
         ? LatencyLevel.RAISED
         : LatencyLevel.NORMAL;
   }
@@ -90,6 +112,11 @@
   }
 
   private double median() {
-    return lastMs.stream().sorted().skip((lastMs.size() - 1) / 2).findFirst().orElseThrow();
+    return quantile(2);
+  }
+
+  /** Returns the latency that one of so many parts of the last answers did not exceed. */
+  private double quantile(int parts) {
+    return lastMs.stream().sorted().skip((lastMs.size() - 1) / parts).findFirst().orElseThrow();
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pace/StatementKind.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pace/StatementKind.java
@@ -7,20 +7,27 @@
 /** The kinds of work of a target, whose latencies are not comparable. */
 public enum StatementKind {
   /** A read. */
-  READ(true),
-  /** A write. */
-  WRITE(true),
+  READ(true, false),
+  /** A write, which may wait for a lock. */
+  WRITE(true, true),
   /** A commit, which may wait for replicas. */
-  COMMIT(true),
+  COMMIT(true, true),
   /** The begin of a transaction, which a target answers without doing any work. */
-  BEGIN(false),
+  BEGIN(false, false),
   /** The opening of a connection, which takes a slot of the target for some milliseconds. */
-  CONNECT(false);
+  CONNECT(false, false);
 
   private final boolean measured;
+  private final boolean mayWait;
 
-  StatementKind(boolean measured) {
+  StatementKind(boolean measured, boolean mayWait) {
     this.measured = measured;
+    this.mayWait = mayWait;
+  }
+
+  /** Returns whether the target may hold the answer back although it is not busy. */
+  boolean mayWait() {
+    return mayWait;
   }
 
   /** Returns whether the latency of this kind tells how busy the target is. */
--- a/gateway/src/main/java/io/lycheejunction/gateway/pace/TargetPace.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pace/TargetPace.java
@@ -4,10 +4,13 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.gateway.schedule.Scheduler;
+import java.util.Collections;
 import java.util.EnumMap;
+import java.util.IdentityHashMap;
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * Decides how many statements this VM has in progress at one target.
@@ -19,15 +22,27 @@
   private static final EventLog LOG = EventLog.of(TargetPace.class);
   private static final double LATENCY_SMOOTHING = 0.2;
 
+  /**
+   * How long a write or commit without an answer counts at most, in milliseconds. One that waits
+   * for a lock takes no slot, and would otherwise hold up all others at a low limit.
+   */
+  static final long MAX_COUNTED_MS = 300;
+
   private final PaceMode mode;
   private final String target;
   private final int slots;
   private final Scheduler scheduler;
   private final Map<StatementKind, LatencyTrend> trends = new EnumMap<>(StatementKind.class);
+  private final RecentLatency recent = new RecentLatency();
+  private final Map<StatementKind, RecentLatency> recentOfKind = new EnumMap<>(StatementKind.class);
   private ConcurrencyLimit limit;
   private SlowStart slowStart;
   private boolean slowStartLogged;
-  private int inProgress;
+
+  /** The statements in progress that count, by identity. */
+  private final Set<SentStatement> counted = Collections.newSetFromMap(new IdentityHashMap<>());
+
+  private Runnable onRoom = () -> {};
   private double latencyMs;
   private long refusals;
 
@@ -74,6 +89,15 @@
     return new TargetPace(PaceMode.OFF, target, 1, scheduler, SlowStartCause.REGISTERED_BEFORE);
   }
 
+  /**
+   * Sets the callback that is called when there is room although no statement was answered.
+   *
+   * @param callback the callback
+   */
+  public void setRoomListener(Runnable callback) {
+    onRoom = callback;
+  }
+
   /**
    * Returns whether the target is limited.
    *
@@ -89,7 +113,7 @@
    * @return true if it has room, or nothing is in progress
    */
   public boolean hasRoom() {
-    return !isLimited() || inProgress < limit.statements();
+    return !isLimited() || inProgress() < limit.statements();
   }
 
   /**
@@ -127,11 +151,15 @@
    * @return the time in milliseconds; 0 if the statement need not wait or the target isn't limited
    */
   public double expectedWaitMs(int ahead, int connections) {
-    return hasRoom() && ahead == 0 ? 0 : estimate(ahead, connections).waitMs();
+    if (!isLimited() || hasRoom() && ahead == 0) {
+      return 0;
+    }
+    return latencyMs * (ahead + 1) / parallel(connections);
   }
 
   /**
    * Returns the refusal of a statement that would have to wait and can't be answered in time.
+   * Nothing is refused while the limit may still double or few answers are known.
    *
    * @param ahead the number of statements that are sent before it
    * @param connections the number of connections that this VM may have
@@ -139,10 +167,12 @@
    * @return the fault, or empty if it may wait or the target isn't limited
    */
   public Optional<Fault> refusalOfWait(int ahead, int connections, long deadlineMs) {
-    if (hasRoom() && ahead == 0) {
+    long nowMs = scheduler.nowMs();
+    if (hasRoom() || !limit.isReduced() || !recent.isKnown(nowMs)) {
       return Optional.empty();
     }
-    return estimate(ahead, connections).refusal(deadlineMs - scheduler.nowMs(), target);
+    return new WaitEstimate(ahead + 1, parallel(connections), recent.typicalMs(), ownMs(nowMs))
+        .refusal(deadlineMs - nowMs, target);
   }
 
   /**
@@ -153,20 +183,46 @@
    * @return the fault; empty if it may be sent, nothing is in progress or the target isn't limited
    */
   public Optional<Fault> refusalOfSending(long deadlineMs) {
-    if (!isLimited() || inProgress == 0 || deadlineMs - scheduler.nowMs() >= latencyMs) {
+    long nowMs = scheduler.nowMs();
+    if (!limit.isReduced() || inProgress() == 0 || !recent.isKnown(nowMs)) {
       return Optional.empty();
     }
-    return Optional.of(
-        new Fault(
-            ResultCode.WAIT_TOO_LONG,
-            "the latency of %.0f ms of %s exceeds the time that remains"
-                .formatted(latencyMs, target),
-            Math.round(latencyMs)));
+    return new WaitEstimate(0, 1, 0, ownMs(nowMs)).refusal(deadlineMs - nowMs, target);
+  }
+
+  /** Returns the latency of the fastest kind, since the kind of a waiting statement is unknown. */
+  private double ownMs(long nowMs) {
+    return recentOfKind.entrySet().stream()
+        .filter(entry -> entry.getValue().isKnown(nowMs))
+        .mapToLong(entry -> entry.getValue().quantileMs(entry.getKey().mayWait() ? 0.25 : 0.5))
+        .min()
+        .orElse(0);
+  }
+
+  /**
+   * Returns the highest of the lowest latencies of reads and writes. The wait in the target's queue
+   * is the same for both, and would look long to the faster ones.
+   */
+  private double scaleMs(long nowMs) {
+    return trends.entrySet().stream()
+        .filter(entry -> entry.getKey() != StatementKind.COMMIT)
+        .mapToDouble(entry -> entry.getValue().lowestMs(nowMs))
+        .max()
+        .orElse(0);
+  }
+
+  private int inProgress() {
+    return counted.size();
+  }
+
+  private void stopCounting(SentStatement statement) {
+    if (counted.remove(statement)) {
+      onRoom.run();
+    }
   }
 
-  private WaitEstimate estimate(int ahead, int connections) {
-    int parallel = Math.max(1, Math.min(limit.statements(), connections));
-    return new WaitEstimate(ahead, parallel, isLimited() ? latencyMs : 0);
+  private int parallel(int connections) {
+    return Math.max(1, Math.min(limit.statements(), connections));
   }
 
   /**
@@ -176,9 +232,14 @@
    * @return the work, which must be passed to {@link #answered} or {@link #lost} once
    */
   public SentStatement sent(StatementKind kind) {
-    inProgress++;
+    SentStatement statement =
+        new SentStatement(kind, scheduler.nowMs(), limit.reductions(), inProgress() + 1);
+    counted.add(statement);
     logSlowStart();
-    return new SentStatement(kind, scheduler.nowMs(), limit.reductions(), inProgress);
+    if (isLimited() && kind.mayWait()) {
+      scheduler.schedule(MAX_COUNTED_MS, () -> stopCounting(statement));
+    }
+    return statement;
   }
 
   /**
@@ -188,7 +249,7 @@
    * @param fault the fault that the target reported, if any
    */
   public void answered(SentStatement statement, Optional<Fault> fault) {
-    inProgress--;
+    counted.remove(statement);
     if (!isLimited()) {
       return;
     }
@@ -201,15 +262,18 @@
       }
       return;
     }
+    long nowMs = scheduler.nowMs();
+    long tookMs = nowMs - statement.sentMs();
+    recent.record(tookMs, nowMs);
     if (!statement.kind().isMeasured()) {
       return;
     }
-    long nowMs = scheduler.nowMs();
-    long tookMs = nowMs - statement.sentMs();
+    recentOf(statement.kind()).record(tookMs, nowMs);
     latencyMs = latencyMs == 0 ? tookMs : latencyMs + LATENCY_SMOOTHING * (tookMs - latencyMs);
     LatencyTrend trend = trends.computeIfAbsent(statement.kind(), kind -> new LatencyTrend());
     trend.record(tookMs, nowMs);
-    limit = limit.afterAnswer(trend.level(nowMs), statement, slots);
+    double scaleMs = Math.max(scaleMs(nowMs), trend.lowestMs(nowMs));
+    limit = limit.afterAnswer(trend.level(nowMs, scaleMs), statement, slots);
     endSlowStartIfReduced(statement, "latency");
     if (slowStart != null && limit.statements() >= slots) {
       endSlowStart("slots");
@@ -223,7 +287,16 @@
    */
   public void lost(SentStatement statement) {
     Objects.requireNonNull(statement, "statement is null");
-    inProgress--;
+    counted.remove(statement);
+    if (isLimited() && statement.kind().isMeasured()) {
+      long nowMs = scheduler.nowMs();
+      recent.recordAtLeast(nowMs - statement.sentMs(), nowMs);
+      recentOf(statement.kind()).recordAtLeast(nowMs - statement.sentMs(), nowMs);
+    }
+  }
+
+  private RecentLatency recentOf(StatementKind kind) {
+    return recentOfKind.computeIfAbsent(kind, unknown -> new RecentLatency());
   }
 
   /**
@@ -237,6 +310,8 @@
     }
     limit = limit.restarted();
     trends.values().forEach(LatencyTrend::forgetRecent);
+    recent.forget();
+    recentOfKind.clear();
     slowStart = new SlowStart(cause, refusals, scheduler.nowMs());
     slowStartLogged = false;
   }
@@ -256,7 +331,7 @@
         "limit",
         limit.statements(),
         "in_progress",
-        inProgress,
+        inProgress(),
         "latency_ms",
         Math.round(latencyMs),
         "refusals",
--- a/gateway/src/main/java/io/lycheejunction/gateway/pace/WaitEstimate.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pace/WaitEstimate.java
@@ -7,20 +7,21 @@
 /**
  * The expected time until a waiting statement is sent and answered.
  *
- * @param ahead the number of statements that are sent before it
+ * @param ahead the number of statements that end before it is sent
  * @param parallel the number of statements that may be in progress
- * @param latencyMs the mean latency of a statement, in milliseconds; 0 if it is not known
+ * @param typicalMs the latency of the statements before it, in milliseconds
+ * @param ownMs the latency of the statement itself, in milliseconds
  */
-record WaitEstimate(int ahead, int parallel, double latencyMs) {
+record WaitEstimate(int ahead, int parallel, double typicalMs, double ownMs) {
   private static final long MIN_RETRY_MS = 20;
 
   /**
-   * Waits and latencies vary; without the two margins many of those that wait still miss their
-   * limit after they were sent.
+   * Waits and latencies vary; without the margins many of those that wait miss their time limit
+   * after they were sent, and take slots in vain.
    */
   private static final double WAIT_MARGIN = 1.2;
 
-  private static final double LATENCY_MARGIN = 2;
+  private static final double OWN_MARGIN = 1.5;
 
   WaitEstimate {
     if (parallel < 1) {
@@ -30,7 +31,7 @@
 
   /** Returns the time until the statement is sent, in milliseconds. */
   double waitMs() {
-    return latencyMs * (ahead + 1) / parallel;
+    return typicalMs * ahead / parallel;
   }
 
   /**
@@ -41,15 +42,17 @@
    * @return the fault with the time until the queue is short enough, or empty if it may wait
    */
   Optional<Fault> refusal(long remainingMs, String target) {
-    double excessMs = waitMs() * WAIT_MARGIN + latencyMs * LATENCY_MARGIN - remainingMs;
-    if (latencyMs <= 0 || excessMs <= 0) {
+    double excessMs = waitMs() * WAIT_MARGIN + ownMs * OWN_MARGIN - remainingMs;
+    if (excessMs <= 0) {
       return Optional.empty();
     }
     String detail =
-        "the expected wait of %.0f ms for %s exceeds the %d ms that remain"
-            .formatted(waitMs(), target, remainingMs);
+        "the expected wait of %.0f ms for %s and its latency of %.0f ms exceed the %d ms"
+            .formatted(waitMs(), target, ownMs, remainingMs);
     return Optional.of(
         new Fault(
-            ResultCode.WAIT_TOO_LONG, detail, Math.max(MIN_RETRY_MS, (long) Math.ceil(excessMs))));
+            ResultCode.WAIT_TOO_LONG,
+            detail + " that remain",
+            Math.max(MIN_RETRY_MS, (long) Math.ceil(excessMs))));
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/TargetPool.java
@@ -83,6 +83,7 @@
     this.links = new PoolLinks(rule);
     this.requests = new LinkQueue(rule);
     this.onFault = onFault;
+    pace.setRoomListener(this::serveWaiting);
     this.starts = new LimitedStarts(pace, scheduler, links, requests);
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/pace/ConcurrencyLimitTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/pace/ConcurrencyLimitTest.java
@@ -84,6 +84,20 @@
     assertEquals(3, limit.statements());
   }
 
+  /** Writes that wait for the lock of an open transaction made reads of the target wait. */
+  @Test
+  void shouldNotFallBelowSlotsWhenOnlyWritesAreSlow() {
+    answer(7, LatencyLevel.NORMAL, 4);
+    assertEquals(8, limit.statements());
+
+    for (int i = 0; i < 20; i++) {
+      SentStatement write = new SentStatement(StatementKind.WRITE, 0, limit.reductions(), 4);
+      limit = limit.afterAnswer(LatencyLevel.HIGH, write, SLOTS);
+    }
+
+    assertEquals(SLOTS, limit.statements());
+  }
+
   /** A lone slow statement tells nothing of the work that this VM has in progress. */
   @Test
   void shouldNotFallWhenOnlyOneStatementIsInProgress() {
