--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/LinkQueue.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/LinkQueue.java
@@ -37,6 +37,10 @@
     requests.add(index, request);
   }
 
+  boolean contains(LinkRequest request) {
+    return requests.contains(request);
+  }
+
   boolean remove(LinkRequest request) {
     return requests.remove(request);
   }
@@ -51,6 +55,11 @@
     refused.forEach(request -> request.refused(fault));
   }
 
+  /** Returns the number of requests that are served before a request that arrives now. */
+  int countBefore(LinkRequest arriving) {
+    return (int) requests.stream().filter(r -> r.priority() <= arriving.priority()).count();
+  }
+
   /** Refuses the requests whose deadline has passed. */
   void refuseExpired(long nowMs, String targetId) {
     for (LinkRequest request : all()) {
@@ -84,13 +93,14 @@
   }
 
   /**
-   * Returns the first request for which none of the connections that are being opened is left.
+   * Returns the first request for which none of the connections that are being opened or idle is
+   * left.
    *
    * @param count the number of requests to consider, from the first
-   * @param opening the connections that are being opened, each of which serves one request
+   * @param coming the connections that are being opened or idle, each of which serves one request
    */
-  Optional<LinkRequest> firstWithoutLink(int count, Collection<PooledLink> opening) {
-    List<PooledLink> left = new ArrayList<>(opening);
+  Optional<LinkRequest> firstWithoutLink(int count, Collection<PooledLink> coming) {
+    List<PooledLink> left = new ArrayList<>(coming);
     for (LinkRequest request : requests.subList(0, Math.min(count, requests.size()))) {
       Optional<PooledLink> own = left.stream().filter(link -> rule.fits(link, request)).findFirst();
       if (own.isEmpty()) {
--- a/gateway/src/main/java/io/lycheejunction/gateway/pool/PoolLinks.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/pool/PoolLinks.java
@@ -45,8 +45,13 @@
     return idle.size() + busy.size() + notReady.size();
   }
 
-  List<PooledLink> opening() {
-    return notReady.stream().filter(link -> !link.isOpen()).toList();
+  /**
+   * Returns the connections that are being opened or idle. An idle one fits a waiting request only
+   * while the limit on the statements in progress leaves no room.
+   */
+  List<PooledLink> comingOrIdle() {
+    return Stream.concat(notReady.stream().filter(link -> !link.isOpen()), idle.all().stream())
+        .toList();
   }
 
   Set<String> organisations() {
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -4,6 +4,7 @@
 import io.lycheejunction.core.result.Fault;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.term.LogPosition;
+import io.lycheejunction.gateway.pace.SlowStartCause;
 import io.lycheejunction.gateway.pool.TargetPool;
 import java.util.function.LongSupplier;
 
@@ -22,6 +23,12 @@
    */
   private static final long GONE_AFTER_MS = 350;
 
+  /**
+   * How long a request is unanswered until the target counts as cold once it answers, in
+   * milliseconds; longer than a statement that is only slow.
+   */
+  private static final long COLD_AFTER_MS = 1_000;
+
   private static final long SUSPECTED_AFTER_MS = 60;
 
   /** How long a target that counts as gone is spared another request, in milliseconds. */
@@ -204,6 +211,9 @@
    * @param nowMs the present time, in milliseconds
    */
   public void recordAnswer(long nowMs) {
+    if (failureDetector.refused() || unansweredMs(nowMs) >= COLD_AFTER_MS) {
+      pool.pace().restart(SlowStartCause.REACHABLE_AGAIN);
+    }
     failureDetector = failureDetector.afterAnswer(nowMs);
     lastAnswerMs = nowMs;
   }
@@ -277,7 +287,9 @@
    * @param term the term in which it is primary
    */
   public void recordPrimary(long term) {
+    final boolean wasPrimary = isPrimary();
     provenTerm = term;
+    restartIfPromoted(wasPrimary);
   }
 
   /**
@@ -322,6 +334,7 @@
   }
 
   void update(Target newer, long newestProvenTerm) {
+    final boolean wasPrimary = isPrimary();
     if (newer.claimsPrimary() && !target.claimsPrimary()) {
       claimedAtRevision = newer.revision();
       claimedTerm = newestProvenTerm + 1;
@@ -330,5 +343,12 @@
       provenTerm = 0;
     }
     target = newer;
+    restartIfPromoted(wasPrimary);
+  }
+
+  private void restartIfPromoted(boolean wasPrimary) {
+    if (!wasPrimary && isPrimary()) {
+      pool.pace().restart(SlowStartCause.PROMOTED);
+    }
   }
 }
