--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -1,6 +1,7 @@
 package io.lycheejunction.gateway.session;
 
 import io.lycheejunction.core.result.Fault;
+import io.lycheejunction.core.result.Outcome;
 import io.lycheejunction.core.result.ResultCode;
 import io.lycheejunction.core.statement.CallerStatement;
 import io.lycheejunction.core.statement.PreparedStatement;
@@ -431,6 +432,11 @@
     return Fault.of(ResultCode.BAD_STATEMENT, "no transaction is open");
   }
 
+  /** A target that refuses a statement, since it is busy for example, promises not to run it. */
+  private static boolean mayHaveRun(Fault fault) {
+    return fault.code().outcome() != Outcome.REFUSED_NOT_RUN;
+  }
+
   private final class SingleCompletion implements Completion {
     private final StatementRequest request;
 
@@ -451,7 +457,7 @@
     @Override
     public void failed(Fault fault) {
       quota.recordOutcome(request.organisation(), Optional.of(fault));
-      quota.refundUnless(running.isSent());
+      quota.refundUnless(running.isSent() && mayHaveRun(fault));
       refuse(fault);
     }
   }
--- a/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/session/QuotaSessionTest.java
@@ -134,6 +134,19 @@
     }
   }
 
+  /** Load: targets that refuse statements as busy use up the quota of those that would run. */
+  @Test
+  void shouldGiveTheTokenBackWhenTheTargetRefusesTheStatement() {
+    for (int i = 0; i < 10; i++) {
+      write();
+      if (i == 0) {
+        link().greet();
+      }
+      link().fault(ResultCode.TARGET_BUSY, TransactionState.NONE);
+      assertFalse(caller.lastReply().contains(ResultCode.QUOTA_EXCEEDED.name()));
+    }
+  }
+
   @Test
   void shouldKeepTheTokensOfEarlierStatementsWhenTheCallerLeavesAnEmptyTransaction() {
     write();
