Forward reads that may be stale to the holders of the own failure domain

With organisations, two thirds of all reads crossed to a holder of another failure domain and were answered by its replica, and a domain that was cut off lost its reads with the holders of the other side. Reads that a replica can answer now go to the holders of the own domain first, in the order for the organisation; what needs the primary keeps one order for all VMs. In PlacedForwardingTest one case uses an organisation whose first holder is in the own domain, as its statement would otherwise not be forwarded; a new case holds the order.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/DispatchContext.java
@@ -68,9 +68,10 @@
    * caller's organisation.
    *
    * @param request the statement
+   * @param needsPrimary true if only the primary can run it, or the transaction that it belongs to
    * @return the selector for its first try
    */
-  TargetSelector selector(StatementRequest request) {
+  TargetSelector selector(StatementRequest request, boolean needsPrimary) {
     if (request.forwarded()) {
       return direct;
     }
@@ -79,10 +80,10 @@
     }
     String organisation = request.organisation().get();
     if (role.isForwarding()) {
-      return new TargetSelector.Placed(forwarding, organisation, Optional.empty());
+      return new TargetSelector.Placed(forwarding, organisation, !needsPrimary, Optional.empty());
     }
     TargetSelector placed =
-        new TargetSelector.Placed(forwarding, organisation, Optional.of(direct));
+        new TargetSelector.Placed(forwarding, organisation, !needsPrimary, Optional.of(direct));
     return placed
         .choose(request.route(), Optional.empty(), Set.of(), scheduler.nowMs())
         .map(holder -> placed)
@@ -97,10 +98,12 @@
    * Returns whether a statement that starts now is sent to targets by this VM.
    *
    * @param request the statement
+   * @param inTransaction true if it belongs to a transaction
    * @return true if so, false if it is forwarded to another VM
    */
-  public boolean isDirect(StatementRequest request) {
-    return selector(request) instanceof TargetSelector.Direct;
+  public boolean isDirect(StatementRequest request, boolean inTransaction) {
+    return selector(request, inTransaction || request.needsPrimary())
+        instanceof TargetSelector.Direct;
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/LeastCostSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/LeastCostSelector.java
@@ -28,6 +28,10 @@
     this.failureDomain = failureDomain;
   }
 
+  String failureDomain() {
+    return failureDomain;
+  }
+
   /**
    * Returns the target that is expected to answer first.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/SingleStatement.java
@@ -49,7 +49,7 @@
   public SingleStatement(
       DispatchContext dispatch, StatementRequest request, Completion completion) {
     this.dispatch = dispatch;
-    this.selector = dispatch.selector(request);
+    this.selector = dispatch.selector(request, request.needsPrimary());
     this.request = request;
     this.completion = completion;
     this.startedMs = dispatch.scheduler().nowMs();
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/StatementRequest.java
@@ -9,6 +9,7 @@
 import io.lycheejunction.gateway.pool.LinkResult;
 import io.lycheejunction.gateway.pool.PooledLink;
 import io.lycheejunction.gateway.pool.PreparedCommand;
+import io.lycheejunction.gateway.route.ReadRule;
 import io.lycheejunction.gateway.route.Route;
 import java.util.Objects;
 import java.util.Optional;
@@ -89,6 +90,15 @@
         .orElseGet(() -> statement instanceof CallerStatement.Write);
   }
 
+  /**
+   * Returns whether only the primary can run the statement outside a transaction.
+   *
+   * @return true if it writes, or reads the latest data
+   */
+  boolean needsPrimary() {
+    return writes() || route.readRule() instanceof ReadRule.Latest;
+  }
+
   /**
    * Returns the statement with another time limit.
    *
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -17,6 +17,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.stream.Stream;
 
 /** Selects the target of a statement and the log position that the target must have reached. */
 public sealed interface TargetSelector {
@@ -298,10 +299,13 @@
    *
    * @param forwarding the holders, and how statements are forwarded to them
    * @param organisation the organisation of the statement
+   * @param local true if the holders of this VM's failure domain come first, since the replica
+   *     there can run the statement
    * @param own selects targets if this VM is a holder itself, which then runs the statements for
    *     which it comes first, and those that an earlier holder did not run
    */
-  record Placed(Forwarding forwarding, String organisation, Optional<TargetSelector> own)
+  record Placed(
+      Forwarding forwarding, String organisation, boolean local, Optional<TargetSelector> own)
       implements TargetSelector {
 
     @Override
@@ -339,9 +343,20 @@
       }
       Set<String> vms = new HashSet<>(byVm.keySet());
       own.ifPresent(selector -> vms.add(forwarding.vm()));
-      return forwarding.orders().order(vms, organisation, service).stream()
-          .takeWhile(vm -> own.isEmpty() || !vm.equals(forwarding.vm()))
-          .map(byVm::get)
+      List<String> order = forwarding.orders().order(vms, organisation, service);
+      return (local ? ownDomainFirst(order, byVm) : order)
+          .stream()
+              .takeWhile(vm -> own.isEmpty() || !vm.equals(forwarding.vm()))
+              .map(byVm::get)
+              .toList();
+    }
+
+    private List<String> ownDomainFirst(List<String> order, Map<String, TargetHandle> byVm) {
+      String ownDomain = forwarding.holderSelector().failureDomain();
+      Predicate<String> inOwnDomain =
+          vm -> !byVm.containsKey(vm) || byVm.get(vm).target().failureDomain().equals(ownDomain);
+      return Stream.concat(
+              order.stream().filter(inOwnDomain), order.stream().filter(inOwnDomain.negate()))
           .toList();
     }
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/Transaction.java
@@ -148,7 +148,7 @@
 
   private void tryBegin() {
     boolean first = currentRun.tries == 0;
-    selector = first ? dispatch.selector(currentRun.request) : selector.afterRefusal();
+    selector = first ? dispatch.selector(currentRun.request, true) : selector.afterRefusal();
     if (currentRun.tries >= selector.maxTries()) {
       fail(
           new Fault(
--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -325,7 +325,7 @@
   private void whenAllowed(StatementRequest request, Runnable start) {
     quota.admit(
         request.organisation(),
-        gateway.dispatch().isDirect(request),
+        gateway.dispatch().isDirect(request, transaction != null),
         refusal -> {
           if (closed) {
             quota.refundUnless(false);
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/PlacedForwardingTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/PlacedForwardingTest.java
@@ -117,6 +117,19 @@
     assertTrue(fixture.links.to(SECOND).isEmpty());
   }
 
+  /** Failure: a failure domain is cut off, whose own replicas could still serve its reads. */
+  @Test
+  void shouldReadFromHolderInTheOwnFailureDomainWhenStaleReadsAreAllowed() {
+    fixture.role.forward();
+
+    run(request(REMOTE, new ReadRule.Aged(1_500), DispatchFixture.read(), false));
+    assertTrue(fixture.links.to(FIRST).isEmpty());
+    assertEquals(1, fixture.links.to(SECOND).size());
+
+    write(REMOTE);
+    assertEquals(1, fixture.links.to(FIRST).size());
+  }
+
   /** The connections between VMs serve all organisations, so each statement names its own. */
   @Test
   void shouldNameOrganisationInStatementWhenConnectionLeadsToAnotherVm() {
@@ -289,11 +302,12 @@
 
   @Test
   void shouldSendCommitOfSessionWhenHolderForwardsReadOfOwnWrites() {
+    String organisation = organisationWithOrder("vm-2", DispatchFixture.VM, "vm-1");
     fixture.role.hold();
 
-    run(request(REMOTE, new ReadRule.OwnWrites(2_500), DispatchFixture.read(), false));
+    run(request(organisation, new ReadRule.OwnWrites(2_500), DispatchFixture.read(), false));
 
-    TargetCommand.Run run = firstCommand(fixture.links.last(FIRST).greet());
+    TargetCommand.Run run = firstCommand(fixture.links.last(SECOND).greet());
     assertEquals(Optional.of(new LogPosition(1, 9)), run.after());
   }
 
