--- a/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/session/CallerSession.java
@@ -331,7 +331,7 @@
             quota.refundUnless(false);
           } else if (unauthorized) {
             quota.refundUnless(false);
-            close();
+            refuse(Fault.of(ResultCode.WRONG_CREDENTIAL, "the key was withdrawn"));
           } else if (refusal.isPresent()) {
             if (transaction != null) {
               transaction.expire();
