Ask another holder first for what needs the primary, after one has found none

Other holders come first for a second now. Test: PlacedForwardingTest.shouldUseNextHolderForWritesWhenFirstHasFoundNoPrimary, which failed before.

--- a/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/dispatch/TargetSelector.java
@@ -314,8 +314,9 @@
     }
 
     /**
-     * Returns the first holder that is available. Without one, a VM that is no holder tries any
-     * that is not known to be unreachable.
+     * Returns the first holder that is available, and that has not lacked the primary a moment ago
+     * if the statement needs it. Without one, a VM that is no holder tries any that is not known to
+     * be unreachable.
      *
      * @return the holder, or empty if this VM comes first or there is none
      */
@@ -324,8 +325,9 @@
         Route route, Optional<LogPosition> floor, Set<String> tried, long nowMs) {
       List<TargetHandle> ordered = holdersBeforeOwn(route.service());
       Predicate<TargetHandle> untried = holder -> !tried.contains(holder.target().id());
-      Optional<TargetHandle> available =
-          ordered.stream().filter(untried.and(holder -> !holder.isUnavailable(nowMs))).findFirst();
+      Predicate<TargetHandle> suitable =
+          holder -> !holder.isUnavailable(nowMs) && (local || !holder.lacksPrimary(nowMs));
+      Optional<TargetHandle> available = ordered.stream().filter(untried.and(suitable)).findFirst();
       if (available.isPresent() || own.isPresent()) {
         return available;
       }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -17,6 +17,9 @@
   private static final long LAGGING_AVOID_MS = 150;
   private static final long OVERDUE_AVOID_MS = 1_000;
 
+  /** A cut between a holder and a primary lasts for seconds; a replacement takes about as long. */
+  private static final long NO_PRIMARY_AVOID_MS = 1_000;
+
   /**
    * How long a request is unanswered until the target counts as gone, in milliseconds. A lost
    * packet is retransmitted after about 200 ms.
@@ -41,6 +44,7 @@
   private double latencyMs = INITIAL_LATENCY_MS;
   private long avoidUntilMs = Long.MIN_VALUE;
   private long unavailableUntilMs = Long.MIN_VALUE;
+  private long noPrimaryUntilMs = Long.MIN_VALUE;
   private long laggingUntilMs = Long.MIN_VALUE;
   private long notPrimaryUntilRevision = Long.MIN_VALUE;
   private long provenTerm;
@@ -205,6 +209,17 @@
     return isUnreachable(nowMs) || nowMs < unavailableUntilMs || isAvoided(nowMs) && silent;
   }
 
+  /**
+   * Returns whether the target, a holder of connections, has refused a statement a moment ago since
+   * it reached no primary.
+   *
+   * @param nowMs the present time, in milliseconds
+   * @return true if another holder should be asked for what needs the primary
+   */
+  public boolean lacksPrimary(long nowMs) {
+    return nowMs < noPrimaryUntilMs;
+  }
+
   /**
    * Records that an answer of any kind was received from the target.
    *
@@ -275,6 +290,7 @@
         avoidUntilMs = nowMs + UNREACHABLE_AVOID_MS;
         unavailableUntilMs = avoidUntilMs;
       }
+      case NO_PRIMARY -> noPrimaryUntilMs = nowMs + NO_PRIMARY_AVOID_MS;
       default -> {
         // Other faults do not indicate a problem of the target.
       }
--- a/gateway/src/test/java/io/lycheejunction/gateway/dispatch/PlacedForwardingTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/dispatch/PlacedForwardingTest.java
@@ -117,6 +117,21 @@
     assertTrue(fixture.links.to(SECOND).isEmpty());
   }
 
+  /** Failure: the first holder is cut off from a primary that other holders reach. */
+  @Test
+  void shouldUseNextHolderForWritesWhenFirstHasFoundNoPrimary() {
+    fixture.role.forward();
+    write(REMOTE);
+    fixture.links.last(FIRST).greet().fault(ResultCode.NO_PRIMARY, TransactionState.NONE);
+    fixture.links.last(SECOND).greet().done(TransactionState.NONE, 1, 5);
+
+    RecordedOutcome later = write(REMOTE);
+
+    assertTrue(fixture.links.last(FIRST).unanswered().isEmpty());
+    fixture.links.last(SECOND).done(TransactionState.NONE, 1, 6);
+    assertTrue(later.isDone());
+  }
+
   /** Failure: a failure domain is cut off, whose own replicas could still serve its reads. */
   @Test
   void shouldReadFromHolderInTheOwnFailureDomainWhenStaleReadsAreAllowed() {
