Log whether VMs grant the lease on a primary or the store confirms it

A VM may use a primary since enough VMs grant it the lease, or since a read of the store named no replacement of it. The event primary_lease did not tell the two apart, so the log of a stale read could not show which of them had let a replaced primary be used. It now gives the remaining time of each.

--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/PrimaryLeases.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/PrimaryLeases.java
@@ -36,7 +36,7 @@
   public static final long STORE_READ_VALID_MS = 600;
 
   private static final EventLog LOG = EventLog.of(PrimaryLeases.class);
-  private static final long NEVER = Long.MIN_VALUE;
+  private static final long NEVER = Long.MIN_VALUE / 2;
 
   /** The grants on one primary. */
   private static final class ServiceLease {
@@ -125,7 +125,18 @@
     boolean held = nowMs < Math.max(lease.grantedByVmsUntilMs, lease.confirmedByStoreUntilMs);
     if (held != lease.reportedHeld) {
       lease.reportedHeld = held;
-      LOG.info("primary_lease", "service", service, "primary", primary, "held", held);
+      LOG.info(
+          "primary_lease",
+          "service",
+          service,
+          "primary",
+          primary,
+          "held",
+          held,
+          "granted_ms",
+          Math.max(0, lease.grantedByVmsUntilMs - nowMs),
+          "confirmed_ms",
+          Math.max(0, lease.confirmedByStoreUntilMs - nowMs));
     }
     return held;
   }
