Remember the newest term of a service when its primary steps down

Cause: a target of a lower term than the newest confirmed one does not count as the primary, but that term was taken from the targets that lead at the moment. When the successor stepped down, it was gone. All VMs then took the first primary, which still claimed its role, for the primary; the run that was to promote the next one ended ('promoted' the first primary), and leases on it were granted.

Change: the newest confirmed term of a service and its newest claim by registration are kept in LeadershipHistory, which outlasts the targets. A primary that is found after a newer claim, also a withdrawn one, gets no lease until the targets were asked, and ends no run. FailoverRun.isReplaced and nextTerm, and reports of other VMs, use the same term; nextTerm came from the log positions alone, which are dropped at a clock gap. A late answer lowers no confirmed term.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverContext.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverContext.java
@@ -56,4 +56,9 @@
     Objects.requireNonNull(orders, "orders is null");
     Objects.requireNonNull(gate, "gate is null");
   }
+
+  /** Returns the newest term in which a primary of a service has led, or 0 if none is known. */
+  long newestTerm(String service) {
+    return Math.max(targets.newestTerm(service), positions.of(service).newestTerm());
+  }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailoverRun.java
@@ -198,7 +198,7 @@
   }
 
   private long nextTerm() {
-    return Math.max(1, failover.positions().of(service).newestTerm() + 1);
+    return failover.newestTerm(service) + 1;
   }
 
   private void onStatuses(List<Candidate> answers) {
@@ -228,9 +228,9 @@
     }
   }
 
-  /** Returns whether a primary leads an older term than the one that is being replaced. */
+  /** Returns whether a primary leads an older term than a target has led, as the previous one. */
   private boolean isReplaced(Candidate primary) {
-    return previousPrimary.filter(handle -> primary.term() < handle.provenTerm()).isPresent();
+    return primary.term() < failover.newestTerm(service);
   }
 
   /**
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryInquiry.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryInquiry.java
@@ -79,7 +79,7 @@
   /** Asks if another target may lead in place of a primary that may have been replaced. */
   void askIfContested(TargetHandle primary) {
     boolean mayBeReplaced = failover.leases().use().needsLease() || primary.isGone(now());
-    if (mayBeReplaced && isContested(primary)) {
+    if (inDoubt || mayBeReplaced && isContested(primary)) {
       ask();
     }
   }
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/ServiceWatch.java
@@ -134,11 +134,7 @@
 
   /** Uses a primary that another VM has proven to lead a newer term than this VM knows. */
   void onReported(KnownPrimary reported) {
-    long newestTerm = failover.positions().of(service).newestTerm();
-    for (TargetHandle handle : failover.targets().of(service)) {
-      newestTerm = Math.max(newestTerm, handle.provenTerm());
-    }
-    if (reported.term() > newestTerm) {
+    if (reported.term() > failover.newestTerm(service)) {
       failover
           .targets()
           .find(reported.primary())
@@ -244,7 +240,7 @@
       primaryFoundMs = now();
       awaitingFirstLease = true;
       inquiry.onPrimaryFound(primary.get());
-      if (run != null) {
+      if (run != null && !inquiry.isInDoubt()) {
         run.complete(id.get());
       }
       onPrimaryFound.run();
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -39,7 +39,8 @@
 
   private Target target;
   private final TargetPool pool;
-  private long claimedAtRevision;
+  private final LeadershipHistory leadership;
+  private long claimedAtRevision = Long.MIN_VALUE;
   private long claimedTerm;
   private double latencyMs = INITIAL_LATENCY_MS;
   private long avoidUntilMs = Long.MIN_VALUE;
@@ -57,13 +58,19 @@
   private long stalledAtRequestMs;
 
   TargetHandle(
-      Target target, TargetPool pool, long newestProvenTerm, long nowMs, LongSupplier stalledMs) {
+      Target target,
+      TargetPool pool,
+      LeadershipHistory leadership,
+      long nowMs,
+      LongSupplier stalledMs) {
     this.stalledMs = stalledMs;
     this.failureDetector = FailureDetector.initial(nowMs);
     this.target = target;
     this.pool = pool;
-    this.claimedAtRevision = target.claimsPrimary() ? target.revision() : Long.MIN_VALUE;
-    this.claimedTerm = newestProvenTerm + 1;
+    this.leadership = leadership;
+    if (target.claimsPrimary()) {
+      recordClaim(target);
+    }
   }
 
   /**
@@ -298,13 +305,15 @@
   }
 
   /**
-   * Records that the target has confirmed that it is primary.
+   * Records that the target has confirmed that it is primary. An answer that names a lower term
+   * than an earlier one is late.
    *
    * @param term the term in which it is primary
    */
   public void recordPrimary(long term) {
     final boolean wasPrimary = isPrimary();
-    provenTerm = term;
+    provenTerm = Math.max(provenTerm, term);
+    leadership.recordTerm(term);
     restartIfPromoted(wasPrimary);
   }
 
@@ -342,18 +351,16 @@
 
   /**
    * Returns the term in which the target leads by the latest evidence: the one that it has
-   * confirmed, or else the lowest one that its registration can stand for. A registration that
-   * claims the role is written after a promotion, so its term is newer than all confirmed before.
+   * confirmed, or else the lowest one that its registration can stand for.
    */
   long presumedTerm() {
     return provenTerm > 0 ? provenTerm : claimedTerm;
   }
 
-  void update(Target newer, long newestProvenTerm) {
+  void update(Target newer) {
     final boolean wasPrimary = isPrimary();
     if (newer.claimsPrimary() && !target.claimsPrimary()) {
-      claimedAtRevision = newer.revision();
-      claimedTerm = newestProvenTerm + 1;
+      recordClaim(newer);
     }
     if (!newer.claimsPrimary() && target.claimsPrimary()) {
       provenTerm = 0;
@@ -362,6 +369,11 @@
     restartIfPromoted(wasPrimary);
   }
 
+  private void recordClaim(Target claimed) {
+    claimedAtRevision = claimed.revision();
+    claimedTerm = leadership.recordClaim(claimed.revision());
+  }
+
   private void restartIfPromoted(boolean wasPrimary) {
     if (!wasPrimary && isPrimary()) {
       pool.pace().restart(SlowStartCause.PROMOTED);
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -41,7 +41,10 @@
    */
   public static final long DROP_AFTER_MS = 5_000;
 
-  /** How long the last registration of a dropped target is remembered, in milliseconds. */
+  /**
+   * How long the last registration of a dropped target is remembered, and the terms of a service
+   * without targets, in milliseconds.
+   */
   private static final long REMEMBER_DROPPED_MS = 60_000;
 
   private static final EventLog LOG = EventLog.of(Targets.class);
@@ -58,6 +61,7 @@
   private final Map<String, TargetHandle> byId = new HashMap<>();
   private final Map<String, Target> lastOfDropped = new HashMap<>();
   private final Map<String, List<TargetHandle>> byService = new HashMap<>();
+  private final Map<String, LeadershipHistory> leadershipByService = new HashMap<>();
 
   /**
    * Creates a directory without targets, whose statements in progress are not limited.
@@ -191,19 +195,19 @@
    * Returns the known primary of a service.
    *
    * <p>A target whose term is lower than one that another has confirmed was replaced, and is not
-   * the primary even if it still claims to be and the other one is gone. If several others claim to
-   * be primary, one that is not gone takes precedence, then the one with the highest confirmed
-   * term, then the one whose registration made the claim last. Registrations come last because they
-   * may be out of date. If all of them are gone, none can confirm its term any more, and a
-   * registration made after the last confirmation counts as newer: a successor may have failed
-   * before it confirmed its term.
+   * the primary even if it still claims to be and the other one is gone or has stepped down. If
+   * several others claim to be primary, one that is not gone takes precedence, then the one with
+   * the highest confirmed term, then the one whose registration made the claim last. Registrations
+   * come last because they may be out of date. If all of them are gone, none can confirm its term
+   * any more, and a registration made after the last confirmation counts as newer: a successor may
+   * have failed before it confirmed its term.
    *
    * @param service the service
    * @return the primary, or empty if no target claims to be primary
    */
   public Optional<TargetHandle> primaryOf(String service) {
     long nowMs = scheduler.nowMs();
-    long newestTerm = newestProvenTerm(service);
+    long newestTerm = newestTerm(service);
     return of(service).stream()
         .filter(TargetHandle::isPrimary)
         .filter(handle -> handle.presumedTerm() >= newestTerm)
@@ -213,20 +217,27 @@
                 .thenComparingLong(TargetHandle::claimedAtRevision));
   }
 
+  /**
+   * Returns the newest term in which a target of a service has confirmed that it leads, also if it
+   * has stepped down since or is not registered any more.
+   *
+   * @param service the service
+   * @return the term, or 0 if none is known
+   */
+  public long newestTerm(String service) {
+    return leadershipOf(service).newestTerm();
+  }
+
   /**
    * Returns whether another target has registered itself as primary after a target did, so that it
-   * may have replaced it.
+   * may have replaced it. It need not claim the role any more.
    *
    * @param primary the target
-   * @return true if a newer claim of another target is known and not disproved
+   * @return true if a newer claim for a newer term is known
    */
   public boolean hasNewerClaim(TargetHandle primary) {
-    return of(primary.target().service()).stream()
-        .filter(handle -> handle != primary && handle.isPrimary())
-        .anyMatch(
-            handle ->
-                handle.claimedAtRevision() > primary.claimedAtRevision()
-                    && handle.presumedTerm() > primary.presumedTerm());
+    return leadershipOf(primary.target().service())
+        .hasNewerClaim(primary.claimedAtRevision(), primary.presumedTerm());
   }
 
   private static long termOf(TargetHandle handle, long nowMs) {
@@ -289,7 +300,7 @@
     }
     if (known != null && known.target().isSameIncarnation(target)) {
       logChange(known.target(), target);
-      known.update(target, newestProvenTerm(target.service()));
+      known.update(target);
       return;
     }
     if (known != null) {
@@ -321,15 +332,11 @@
             fault -> onConnectFault(target.id(), fault),
             TargetPace.of(paceMode, target.id(), target.slots(), scheduler, foundCause));
     return new TargetHandle(
-        target, pool, newestProvenTerm(target.service()), scheduler.nowMs(), stalledMs);
+        target, pool, leadershipOf(target.service()), scheduler.nowMs(), stalledMs);
   }
 
-  private long newestProvenTerm(String service) {
-    return byId.values().stream()
-        .filter(handle -> handle.target().service().equals(service))
-        .mapToLong(TargetHandle::provenTerm)
-        .max()
-        .orElse(0);
+  private LeadershipHistory leadershipOf(String service) {
+    return leadershipByService.computeIfAbsent(service, name -> new LeadershipHistory());
   }
 
   /**
@@ -408,10 +415,17 @@
     handle.pool().retire();
     Target last = handle.target();
     lastOfDropped.put(id, last);
-    scheduler.schedule(REMEMBER_DROPPED_MS, () -> lastOfDropped.remove(id, last));
+    scheduler.schedule(REMEMBER_DROPPED_MS, () -> forget(id, last));
     LOG.info("target_lost", "target", id, "service", handle.target().service(), "reason", reason);
   }
 
+  private void forget(String id, Target last) {
+    lastOfDropped.remove(id, last);
+    if (of(last.service()).isEmpty()) {
+      leadershipByService.remove(last.service());
+    }
+  }
+
   private void rebuildIndex() {
     byService.clear();
     for (TargetHandle handle : byId.values()) {
