Rely on the store only for a primary that registered after the last replacement

VMs of a failure domain that had been cut off read and wrote at a primary that had been replaced (STALE, ONE) in the second after the cut, when its successor was being replaced.

Cause: a VM that the others do not answer may use a primary if the failover lease in the store names no replacement of it. Each replacement writes that row anew, so it names the last one only. A VM that missed two read the name of the second primary, and took the first one for sound.

Change: the store confirms a primary only if its registration claimed the role after the last failover lease was written; both are revisions of the same store.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryWatch.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 
 /** Detects failed or leaving primaries of all services and starts their replacement. */
 public final class PrimaryWatch implements LeaseRenewal.Primaries, ReleaseHandler {
@@ -106,6 +107,15 @@
     return known;
   }
 
+  @Override
+  public OptionalLong claimedAtRevision(String service) {
+    return failover
+        .targets()
+        .primaryOf(service)
+        .map(primary -> OptionalLong.of(primary.claimedAtRevision()))
+        .orElse(OptionalLong.empty());
+  }
+
   @Override
   public void onReported(KnownPrimary reported) {
     Optional.ofNullable(watches.get(reported.service()))
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 
 /**
@@ -46,6 +47,14 @@
      */
     List<KnownPrimary> known();
 
+    /**
+     * Returns when the primary that this VM knows has claimed its role.
+     *
+     * @param service the service
+     * @return the store's revision of its registration, or empty if it has not registered the role
+     */
+    OptionalLong claimedAtRevision(String service);
+
     /**
      * Called for each primary that another VM knows.
      *
@@ -148,27 +157,33 @@
     }
   }
 
-  private void onStoreRead(long requestedMs, Optional<Map<String, String>> answer) {
+  private void onStoreRead(
+      long requestedMs, Optional<Map<String, ReplacedPrimaries.Replacement>> answer) {
     readingStore = false;
     answer.ifPresent(
-        replacedByService -> {
-          confirmNotReplaced(requestedMs, replacedByService);
+        lastByService -> {
+          confirmNotReplaced(requestedMs, lastByService);
           primaries.onRenewed();
         });
   }
 
-  private void confirmNotReplaced(long requestedMs, Map<String, String> replacedByService) {
+  private void confirmNotReplaced(
+      long requestedMs, Map<String, ReplacedPrimaries.Replacement> lastByService) {
     for (KnownPrimary own : primaries.known()) {
-      String replacedPrimary = replacedByService.get(own.service());
       boolean mayBeReplaced =
-          replacedPrimary != null
-              && (replacedPrimary.isEmpty() || replacedPrimary.equals(own.primary()));
+          Optional.ofNullable(lastByService.get(own.service()))
+              .filter(last -> last.mayHaveReplaced(own.primary(), claimedAtRevision(own)))
+              .isPresent();
       if (own.granted() && !mayBeReplaced) {
         leases.recordNotReplaced(own.service(), own.primary(), requestedMs);
       }
     }
   }
 
+  private long claimedAtRevision(KnownPrimary own) {
+    return primaries.claimedAtRevision(own.service()).orElse(Long.MIN_VALUE);
+  }
+
   /**
    * Renews the leases now, except with VMs whose answers are pending. A VM that watches no primary,
    * as it forwards statements, requests none, since a promotion would wait for its leases.
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -34,13 +34,16 @@
 
   private static final long SUSPECTED_AFTER_MS = 60;
 
+  /** Lower than each revision of the store. */
+  private static final long NEVER_CLAIMED = Long.MIN_VALUE;
+
   /** How long a target that counts as gone is spared another request, in milliseconds. */
   private static final long RETRY_GONE_AFTER_MS = 500;
 
   private Target target;
   private final TargetPool pool;
   private final LeadershipHistory leadership;
-  private long claimedAtRevision = Long.MIN_VALUE;
+  private long claimedAtRevision = NEVER_CLAIMED;
   private long claimedTerm;
   private double latencyMs = INITIAL_LATENCY_MS;
   private long avoidUntilMs = Long.MIN_VALUE;
@@ -345,7 +348,13 @@
     return provenTerm > 0 || target.claimsPrimary() && target.revision() > notPrimaryUntilRevision;
   }
 
-  long claimedAtRevision() {
+  /**
+   * Returns the store's revision of the first registration that claims the role of the primary, of
+   * those that follow each other without one that does not.
+   *
+   * @return the revision, lower than any other one if there is none
+   */
+  public long claimedAtRevision() {
     return claimedAtRevision;
   }
 
--- a/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/lease/LeaseRenewalTest.java
@@ -20,11 +20,15 @@
   private static final Map<String, String> VMS = Map.of("vm-a", "a", "vm-b", "b", "vm-c", "c");
   private static final long RTT_MS = 10;
 
+  /** The store's revision of the registration of the primary. */
+  private static final long CLAIMED_AT = 40;
+
   private final ManualScheduler scheduler = new ManualScheduler();
   private final PrimaryLeases leases = new PrimaryLeases(() -> VoterSet.of(VMS));
   private final Map<String, LeaseReply> replies = new HashMap<>();
   private final List<KnownPrimary> reported = new ArrayList<>();
-  private Optional<Map<String, String>> replaced = Optional.empty();
+  private Optional<Map<String, ReplacedPrimaries.Replacement>> replaced = Optional.empty();
+  private OptionalLong claimedAtRevision = OptionalLong.of(CLAIMED_AT);
   private KnownPrimary own = primary("i-1", true);
   private boolean voter = true;
   private boolean forwards;
@@ -85,6 +89,11 @@
       return forwards ? List.of() : List.of(own);
     }
 
+    @Override
+    public OptionalLong claimedAtRevision(String service) {
+      return claimedAtRevision;
+    }
+
     @Override
     public void onReported(KnownPrimary primary) {
       reported.add(primary);
@@ -102,11 +111,16 @@
     renewal.start();
   }
 
-  private void readStore(Consumer<Optional<Map<String, String>>> done) {
+  private void readStore(Consumer<Optional<Map<String, ReplacedPrimaries.Replacement>>> done) {
     storeReads++;
     done.accept(replaced);
   }
 
+  private static Optional<Map<String, ReplacedPrimaries.Replacement>> replacementOf(
+      String primary, long revision) {
+    return Optional.of(Map.of(SERVICE, new ReplacedPrimaries.Replacement(primary, revision)));
+  }
+
   private boolean isHeld() {
     return leases.isHeld(SERVICE, "i-1", scheduler.nowMs());
   }
@@ -244,7 +258,22 @@
   /** Guards against the use of a primary whose replacement has begun, as the store tells. */
   @Test
   void shouldNotRelyOnTheStoreWhenThePrimaryIsBeingReplaced() {
-    replaced = Optional.of(Map.of(SERVICE, "i-1"));
+    replaced = replacementOf("i-1", CLAIMED_AT - 1);
+    start();
+
+    scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
+
+    assertFalse(isHeld());
+    assertTrue(storeReads > 0);
+  }
+
+  /**
+   * Failure: the store names only the primary that was replaced last. A VM that had been cut off
+   * together with a replaced primary used it again, as its successor was being replaced by then.
+   */
+  @Test
+  void shouldNotRelyOnTheStoreWhenThePrimaryClaimedItsRoleBeforeAnotherOneWasReplaced() {
+    replaced = replacementOf("i-3", CLAIMED_AT + 1);
     start();
 
     scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
@@ -253,6 +282,29 @@
     assertTrue(storeReads > 0);
   }
 
+  /** Guards against the same failure where the primary was found by asking the targets. */
+  @Test
+  void shouldNotRelyOnTheStoreWhenThePrimaryHasNotRegisteredItsRole() {
+    replaced = replacementOf("i-3", CLAIMED_AT - 1);
+    claimedAtRevision = OptionalLong.empty();
+    start();
+
+    scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
+
+    assertFalse(isHeld());
+  }
+
+  /** Guards against an outage of a VM that is cut off from the others after a promotion. */
+  @Test
+  void shouldRelyOnTheStoreWhenThePrimaryClaimedItsRoleAfterAnotherOneWasReplaced() {
+    replaced = replacementOf("i-3", CLAIMED_AT - 1);
+    start();
+
+    scheduler.advanceMs(2 * LeaseRenewal.KNOWN_TO_ALL_AFTER_MS);
+
+    assertTrue(isHeld());
+  }
+
   /** Guards against a lease that rests on a seat which another VM may have taken. */
   @Test
   void shouldNotCountItselfWhenItsSeatIsInDoubt() {
