Replace no primary that this VM does not know while another VM reaches one

Primary, other replica and five of six VMs were sound.

Cause: a primary that is not registered needs no majority, since its registration has been missing for five seconds. A process that never saw it has not waited. The votes of the others name the primary that they reach, and were left out of the count, as the primary in question had no name.

Change: while any VM reaches a primary, an unknown one is not replaced, and one that is known but not registered needs the majority (a VM may have missed a promotion). An unknown primary counts as registered for the time in which a missing registration may return, five seconds with the store reachable.

--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/FailureQuorum.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/FailureQuorum.java
@@ -15,6 +15,9 @@
  * vote gone, so that a single isolated domain cannot replace a primary, and a domain that is
  * isolated together with the primary cannot prevent its replacement. In addition, more VMs must
  * report the primary gone than report that they reach it.
+ *
+ * <p>A VM may know less than the others, since it has just started or has missed a promotion. So no
+ * primary that it does not know is replaced while any VM reaches one.
  */
 public final class FailureQuorum {
 
@@ -24,11 +27,13 @@
    * Returns whether the votes are enough to treat a primary as gone.
    *
    * @param vms the failure domain of each running VM, keyed by VM name
-   * @param primary the identifier of the primary in question
-   * @param votes the votes of VMs, at most one per VM; those on other primaries are ignored
+   * @param primary the identifier of the primary in question, or an empty text if it is not known
+   * @param votes the votes of VMs, at most one per VM; of those on other primaries, the votes that
+   *     report a primary gone are ignored
    * @param registered whether the primary is registered in the store, or was until recently; if
-   *     not, one vote for gone is enough unless as many VMs vote against it
-   * @return granted if the primary counts as gone, else denied or open
+   *     not, one vote for gone is enough unless as many VMs vote against it, or any VM reaches
+   *     another primary
+   * @return granted if the primary counts as gone, else denied
    */
   public static PreVote.Outcome decide(
       Map<String, String> vms, String primary, List<Vote> votes, boolean registered) {
@@ -42,10 +47,12 @@
         }
       }
     }
-    if (total <= 0) {
+    boolean reachesOther =
+        votes.stream().anyMatch(vote -> !vote.gone() && !vote.primary().equals(primary));
+    if (total <= 0 || primary.isEmpty() && reachesOther) {
       return PreVote.Outcome.DENIED;
     }
-    if (!registered) {
+    if (!registered && !reachesOther) {
       return PreVote.Outcome.GRANTED;
     }
     return VoterSet.of(vms).decides(reportingGone)
--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -2,6 +2,7 @@
 
 import io.lycheejunction.core.failover.PreVote;
 import io.lycheejunction.core.failover.ReplacementOrder;
+import io.lycheejunction.gateway.target.Targets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -37,27 +38,36 @@
   /**
    * Returns whether a primary that this VM considers gone counts as gone. VMs that have not voted
    * are asked first if the votes of the others would be enough, unless all VMs will be asked to
-   * release the primary anyway.
+   * release the primary anyway. A primary that this VM does not know counts as gone only once its
+   * registration would have returned.
    *
    * @param primary the identifier of the primary
-   * @return granted, denied, or open while answers of VMs are pending
+   * @return granted, denied, or open while answers of VMs or a registration are pending
    */
   PreVote.Outcome decide(String primary) {
     recordDecision(primary);
     Map<String, String> vms = knownVms(primary);
-    List<Vote> votes = votesOn(primary);
+    List<Vote> votes = allVotes(primary);
     Set<String> notVoted = new HashSet<>(vms.keySet());
-    votes.forEach(vote -> notVoted.remove(vote.vm()));
+    votesOn(primary, votes).forEach(vote -> notVoted.remove(vote.vm()));
     boolean registered = isRegistered(primary);
     PreVote.Outcome outcome = FailureQuorum.decide(vms, primary, votes, registered);
     boolean askedLater = registered && failover.leases().use().needsLease();
     if (mayBeGranted(vms, primary, votes) && mayAsk(vms, outcome, askedLater)) {
       peerVotes.ask(primary, notVoted);
     }
-    if (outcome == PreVote.Outcome.GRANTED && !askedLater && !peerVotes.haveReplied(notVoted)) {
-      return PreVote.Outcome.OPEN;
-    }
-    return outcome;
+    boolean awaitsVotes = !askedLater && !peerVotes.haveReplied(notVoted);
+    boolean isPending = awaitsVotes || mayBeRegistered(primary);
+    return outcome == PreVote.Outcome.GRANTED && isPending ? PreVote.Outcome.OPEN : outcome;
+  }
+
+  /**
+   * Returns whether a primary that this VM does not know may still be registered: registrations
+   * that have lapsed while the store was down return one after the other.
+   */
+  private boolean mayBeRegistered(String primary) {
+    long questionAgeMs = failover.scheduler().nowMs() - inQuestionSinceMs;
+    return primary.isEmpty() && questionAgeMs < Targets.DROP_AFTER_MS;
   }
 
   /**
@@ -93,8 +103,11 @@
     reportingGone.put(failover.vm(), failover.failureDomain());
     List<Vote> stored = new ArrayList<>();
     for (Vote vote : failover.store().votes(service)) {
-      if (vote.primary().equals(primary) && !vote.vm().equals(failover.vm())) {
-        stored.add(vote);
+      if (vote.vm().equals(failover.vm())) {
+        continue;
+      }
+      stored.add(vote);
+      if (vote.primary().equals(primary)) {
         vms.put(vote.vm(), vote.failureDomain());
         if (vote.gone()) {
           reportingGone.put(vote.vm(), vote.failureDomain());
@@ -114,7 +127,9 @@
 
   private void recordDecision(String primary) {
     long nowMs = failover.scheduler().nowMs();
-    if (!primary.equals(primaryInQuestion) || nowMs - lastDecisionMs > NEW_OUTAGE_AFTER_MS) {
+    boolean cannotReturn = primary.isEmpty() && !failover.store().isReachable();
+    boolean isNewOutage = nowMs - lastDecisionMs > NEW_OUTAGE_AFTER_MS;
+    if (!primary.equals(primaryInQuestion) || isNewOutage || cannotReturn) {
       primaryInQuestion = primary;
       inQuestionSinceMs = nowMs;
     }
@@ -139,12 +154,19 @@
     Map<String, String> vms = new HashMap<>(failover.store().liveVms());
     peerVotes.vmsWithoutGateway().forEach(vms::remove);
     vms.put(failover.vm(), failover.failureDomain());
-    votesOn(primary).forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
+    votesOn(primary, allVotes(primary)).forEach(vote -> vms.put(vote.vm(), vote.failureDomain()));
     return vms;
   }
 
-  /** Returns one vote per VM on a primary; a direct answer overrides a vote in the store. */
-  private List<Vote> votesOn(String primary) {
+  private static List<Vote> votesOn(String primary, List<Vote> votes) {
+    return votes.stream().filter(vote -> vote.primary().equals(primary)).toList();
+  }
+
+  /**
+   * Returns one vote per VM, which is this VM's on the primary in question, and may be another
+   * one's on another primary. A direct answer overrides a vote in the store.
+   */
+  private List<Vote> allVotes(String primary) {
     Map<String, Vote> byVm = new HashMap<>();
     failover.store().votes(service).forEach(vote -> byVm.put(vote.vm(), vote));
     peerVotes.votes().forEach(vote -> byVm.put(vote.vm(), vote));
@@ -152,6 +174,6 @@
       Vote own = new Vote(failover.vm(), failover.failureDomain(), primary, true);
       byVm.put(own.vm(), own);
     }
-    return byVm.values().stream().filter(vote -> vote.primary().equals(primary)).toList();
+    return List.copyOf(byVm.values());
   }
 }
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/FailureQuorumTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/FailureQuorumTest.java
@@ -79,4 +79,29 @@
         PreVote.Outcome.DENIED,
         FailureQuorum.decide(VMS, "i-1", List.of(gone("v1", "a"), present("v2", "b")), false));
   }
+
+  /** Failure: a VM that had just started knew no primary, and replaced the one that others used. */
+  @Test
+  void shouldNotGrantWhenThePrimaryIsNotKnownButAnotherVmReachesOne() {
+    List<Vote> votes =
+        List.of(new Vote("v1", "a", "", true), new Vote("v2", "b", "", true), present("v3", "c"));
+
+    assertEquals(PreVote.Outcome.DENIED, FailureQuorum.decide(VMS, "", votes, false));
+  }
+
+  @Test
+  void shouldNeedMajorityWhenThePrimaryIsNotRegisteredAndAnotherVmReachesAnotherOne() {
+    Vote reachesOther = new Vote("v3", "c", "i-2", false);
+
+    assertEquals(
+        PreVote.Outcome.DENIED,
+        FailureQuorum.decide(VMS, "i-1", List.of(gone("v1", "a"), reachesOther), false));
+    assertEquals(
+        PreVote.Outcome.GRANTED,
+        FailureQuorum.decide(
+            VMS,
+            "i-1",
+            List.of(gone("v1", "a"), gone("v2", "b"), gone("v6", "b"), reachesOther),
+            false));
+  }
 }
