Move the role of a target and its term out of TargetHandle

What decides whether a target is the primary was spread over TargetHandle, beside its latency and availability. It is in PrimaryRole now, with LeadershipHistory beside it.

--- a/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/TargetHandle.java
@@ -34,24 +34,17 @@
 
   private static final long SUSPECTED_AFTER_MS = 60;
 
-  /** Lower than each revision of the store. */
-  private static final long NEVER_CLAIMED = Long.MIN_VALUE;
-
   /** How long a target that counts as gone is spared another request, in milliseconds. */
   private static final long RETRY_GONE_AFTER_MS = 500;
 
   private Target target;
   private final TargetPool pool;
-  private final LeadershipHistory leadership;
-  private long claimedAtRevision = NEVER_CLAIMED;
-  private long claimedTerm;
+  private final PrimaryRole role;
   private double latencyMs = INITIAL_LATENCY_MS;
   private long avoidUntilMs = Long.MIN_VALUE;
   private long unavailableUntilMs = Long.MIN_VALUE;
   private long noPrimaryUntilMs = Long.MIN_VALUE;
   private long laggingUntilMs = Long.MIN_VALUE;
-  private long notPrimaryUntilRevision = Long.MIN_VALUE;
-  private long provenTerm;
   private long lastAnswerMs = Long.MIN_VALUE;
   private long lastRequestMs = Long.MIN_VALUE / 2;
   private long overdueSinceMs = Long.MIN_VALUE;
@@ -70,10 +63,7 @@
     this.failureDetector = FailureDetector.initial(nowMs);
     this.target = target;
     this.pool = pool;
-    this.leadership = leadership;
-    if (target.claimsPrimary()) {
-      recordClaim(target);
-    }
+    this.role = new PrimaryRole(target, leadership);
   }
 
   /**
@@ -315,8 +305,7 @@
    */
   public void recordPrimary(long term) {
     final boolean wasPrimary = isPrimary();
-    provenTerm = Math.max(provenTerm, term);
-    leadership.recordTerm(term);
+    role.confirm(term);
     restartIfPromoted(wasPrimary);
   }
 
@@ -325,8 +314,7 @@
    * registration or confirmation counts again.
    */
   public void recordReplaced() {
-    notPrimaryUntilRevision = target.revision();
-    provenTerm = 0;
+    role.end();
   }
 
   /**
@@ -336,7 +324,7 @@
    * @return the term, or 0 if there is none
    */
   public long provenTerm() {
-    return provenTerm;
+    return role.provenTerm();
   }
 
   /**
@@ -345,7 +333,7 @@
    * @return true if so; several targets may for a while
    */
   public boolean isPrimary() {
-    return provenTerm > 0 || target.claimsPrimary() && target.revision() > notPrimaryUntilRevision;
+    return role.isPrimary();
   }
 
   /**
@@ -355,34 +343,20 @@
    * @return the revision, lower than any other one if there is none
    */
   public long claimedAtRevision() {
-    return claimedAtRevision;
+    return role.claimedAtRevision();
   }
 
-  /**
-   * Returns the term in which the target leads by the latest evidence: the one that it has
-   * confirmed, or else the lowest one that its registration can stand for.
-   */
   long presumedTerm() {
-    return provenTerm > 0 ? provenTerm : claimedTerm;
+    return role.presumedTerm();
   }
 
   void update(Target newer) {
     final boolean wasPrimary = isPrimary();
-    if (newer.claimsPrimary() && !target.claimsPrimary()) {
-      recordClaim(newer);
-    }
-    if (!newer.claimsPrimary() && target.claimsPrimary()) {
-      provenTerm = 0;
-    }
+    role.register(newer);
     target = newer;
     restartIfPromoted(wasPrimary);
   }
 
-  private void recordClaim(Target claimed) {
-    claimedAtRevision = claimed.revision();
-    claimedTerm = leadership.recordClaim(claimed.revision());
-  }
-
   private void restartIfPromoted(boolean wasPrimary) {
     if (!wasPrimary && isPrimary()) {
       pool.pace().restart(SlowStartCause.PROMOTED);
