--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -7,7 +7,6 @@
 import io.lycheejunction.gateway.pace.SlowStartCause;
 import io.lycheejunction.gateway.pace.TargetPace;
 import io.lycheejunction.gateway.pool.ConnectionDivision;
-import io.lycheejunction.gateway.pool.ConnectionShare;
 import io.lycheejunction.gateway.pool.OpenReason;
 import io.lycheejunction.gateway.pool.TargetPool;
 import io.lycheejunction.gateway.route.ServiceLimits;
@@ -53,8 +52,7 @@
   private final TargetLinkOpener linkOpener;
   private final PaceMode paceMode;
   private final Map<String, Long> missingSinceMs = new HashMap<>();
-  private Map<String, ServiceLimits> serviceLimits = Map.of();
-  private ConnectionDivision division = new ConnectionDivision.Equal(1);
+  private final ConnectionShares shares = new ConnectionShares();
   private Consumer<OpenReason> openingListener = reason -> {};
   private LongSupplier stalledMs = () -> 0;
   private SlowStartCause foundCause = SlowStartCause.REGISTERED_BEFORE;
@@ -327,7 +325,7 @@
             target,
             linkOpener,
             scheduler,
-            connectionShareOf(target, target.claimsPrimary()),
+            shares.of(target, target.claimsPrimary()),
             reason -> onConnecting(target.id(), reason),
             fault -> onConnectFault(target.id(), fault),
             TargetPace.of(paceMode, target.id(), target.slots(), scheduler, foundCause));
@@ -357,13 +355,9 @@
    * @param changed how the connections are divided
    */
   public void divideConnections(Map<String, ServiceLimits> limits, ConnectionDivision changed) {
-    if (!limits.equals(serviceLimits) || !changed.equals(division)) {
-      serviceLimits = Map.copyOf(limits);
-      division = changed;
-      LOG.info("connections_shared", "division", division);
-    }
+    shares.update(limits, changed);
     for (TargetHandle handle : byId.values()) {
-      handle.pool().setShare(connectionShareOf(handle.target(), handle.isPrimary()));
+      handle.pool().setShare(shares.of(handle.target(), handle.isPrimary()));
     }
   }
 
@@ -374,13 +368,7 @@
    * @return the number, or 0 if the limits of the service are not known
    */
   public int syncReplicasOf(String service) {
-    ServiceLimits limits = serviceLimits.get(service);
-    return limits == null ? 0 : limits.syncReplicas();
-  }
-
-  private ConnectionShare connectionShareOf(Target target, boolean primary) {
-    ServiceLimits limits = serviceLimits.get(target.service());
-    return division.shareOf(target, primary, limits == null ? 0 : limits.maxConnections());
+    return shares.syncReplicasOf(service);
   }
 
   /** Opening a connection counts as a request that the target answers without doing any work. */
