--- a/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/failover/PrimaryVotes.java
@@ -63,7 +63,8 @@
 
   /**
    * Returns whether a primary that this VM does not know may still be registered: registrations
-   * that have lapsed while the store was down return one after the other.
+   * that have lapsed while the store was down return one after the other. The time in which this VM
+   * does not reach the store does not count.
    */
   private boolean mayBeRegistered(String primary) {
     long questionAgeMs = failover.scheduler().nowMs() - inQuestionSinceMs;
--- a/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/lease/LeaseRenewal.java
@@ -51,7 +51,8 @@
      * Returns when the primary that this VM knows has claimed its role.
      *
      * @param service the service
-     * @return the store's revision of its registration, or empty if it has not registered the role
+     * @return the store's revision of its registration, lower than any other one if it has not
+     *     registered the role; empty if this VM knows no primary
      */
     OptionalLong claimedAtRevision(String service);
 
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/LeadershipHistory.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/LeadershipHistory.java
@@ -4,8 +4,8 @@
  * What a service's targets have shown of its past and present primaries.
  *
  * <p>It outlasts the targets that have shown it. A primary that was replaced may go on to claim its
- * role while its successor has stepped down or is gone, and only the successor's term tells that it
- * must not be used.
+ * role after its successor has stepped down or is gone, and then only the successor's term tells
+ * that it must not be used.
  */
 final class LeadershipHistory {
   private long newestTerm;
