Ask the targets before a primary without a confirmed term is used after a later claim

A VM that has just started, and reads that a later primary has stepped down, used the earlier one at once if it had neither term confirmed: both claims then stood for the same lowest term, so neither was newer.

Change: a later claim counts as newer unless the primary has confirmed a term that is as new. The primary gets no lease until all targets were asked once.

--- a/gateway/src/main/java/io/lycheejunction/gateway/target/LeadershipHistory.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/LeadershipHistory.java
@@ -43,12 +43,13 @@
   }
 
   /**
-   * Returns whether a role has been claimed later than by a target, and for a newer term.
+   * Returns whether the role has been claimed later than by a target, and may be for a newer term.
    *
    * @param claimRevision the revision of the registration with which the target claimed the role
-   * @param term the term in which the target leads by the latest evidence
+   * @param provenTerm the term that the target has confirmed, or 0 if there is none
    */
-  boolean hasNewerClaim(long claimRevision, long term) {
-    return newestClaimRevision > claimRevision && newestClaimTerm > term;
+  boolean hasNewerClaim(long claimRevision, long provenTerm) {
+    boolean disproved = provenTerm > 0 && newestClaimTerm <= provenTerm;
+    return newestClaimRevision > claimRevision && !disproved;
   }
 }
--- a/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
+++ b/gateway/src/main/java/io/lycheejunction/gateway/target/Targets.java
@@ -231,11 +231,11 @@
    * may have replaced it. It need not claim the role any more.
    *
    * @param primary the target
-   * @return true if a newer claim for a newer term is known
+   * @return true if a later claim is known, unless the target has confirmed as new a term
    */
   public boolean hasNewerClaim(TargetHandle primary) {
     return leadershipOf(primary.target().service())
-        .hasNewerClaim(primary.claimedAtRevision(), primary.presumedTerm());
+        .hasNewerClaim(primary.claimedAtRevision(), primary.provenTerm());
   }
 
   private static long termOf(TargetHandle handle, long nowMs) {
--- a/gateway/src/test/java/io/lycheejunction/gateway/failover/SuccessorStepsDownTest.java
+++ b/gateway/src/test/java/io/lycheejunction/gateway/failover/SuccessorStepsDownTest.java
@@ -157,6 +157,18 @@
     assertEquals(Optional.empty(), primary());
   }
 
+  /** This VM has just started, and has had no term confirmed. */
+  @Test
+  void shouldGrantNoLeaseUntilTheTargetsWereAskedWhenNoTermIsConfirmed() {
+    fixture.register(FIRST, REPLICA, SUCCESSOR);
+
+    registerSteppedDown();
+
+    assertFalse(grantsPrimary());
+    run(2);
+    assertEquals(Optional.empty(), primary());
+  }
+
   /** The replaced primary is told to step down, and the run goes on to promote a replica. */
   @Test
   void shouldPromoteReplicaWhenTheSuccessorStepsDownWhileTheReplacedPrimaryClaimsItsRole() {
